--- /dev/null
+++ b/include/quetzalspindle/platform_store.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quetzalspindle/result.h"
+#include "quetzalspindle/time.h"
+
+namespace qs {
+
+struct StoreEntry {
+  std::string key;
+  std::string value;
+  int64_t mod_revision = 0;
+};
+
+struct StoreRange {
+  std::vector<StoreEntry> entries;
+  int64_t revision = 0;  // Of the whole store when the range was read.
+};
+
+// The platform's key-value service. Calls block up to the store's timeout and
+// may be made from any thread. An error leaves open whether a write took
+// effect.
+class PlatformStore {
+ public:
+  virtual ~PlatformStore() = default;
+
+  Result<StoreRange> ReadPrefix(const std::string& prefix) {
+    return OnReadPrefix(prefix);
+  }
+
+  std::error_code Put(const std::string& key, const std::string& value) {
+    return OnPut(key, value);
+  }
+
+  // Writes if the key's modification revision is still `expected`, zero for a
+  // key that must not exist. Returns whether the write took effect.
+  Result<bool> CompareAndSwap(const std::string& key, int64_t expected,
+                              const std::string& value) {
+    return OnCompareAndSwap(key, expected, value);
+  }
+
+  // Delivers every later change below the prefix until `keep_on` returns false
+  // or the connection ends. Deleted keys are not delivered.
+  std::error_code Watch(const std::string& prefix, int64_t from_revision,
+                        const std::function<void(const StoreEntry&)>& deliver,
+                        const std::function<bool()>& keep_on) {
+    return OnWatch(prefix, from_revision, deliver, keep_on);
+  }
+
+ private:
+  virtual Result<StoreRange> OnReadPrefix(const std::string& prefix) = 0;
+  virtual std::error_code OnPut(const std::string& key,
+                                const std::string& value) = 0;
+  virtual Result<bool> OnCompareAndSwap(const std::string& key,
+                                        int64_t expected,
+                                        const std::string& value) = 0;
+  virtual std::error_code OnWatch(
+      const std::string& prefix, int64_t from_revision,
+      const std::function<void(const StoreEntry&)>& deliver,
+      const std::function<bool()>& keep_on) = 0;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace qs {
+
+enum class LogLevel { kDebug, kInfo, kWarn, kError };
+
+// Sets up the process's log on standard error. `process` stands in every line.
+void InitLog(const std::string& level, const std::string& process);
+
+using LogField = std::pair<std::string_view, std::string>;
+
+// Writes one line: time, level, process, event and the fields as key=value.
+void Log(LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields);
+
+}  // namespace qs
--- /dev/null
+++ b/src/core/breaker.cc
@@ -0,0 +1,48 @@
+#include "core/breaker.h"
+
+#include <algorithm>
+
+namespace qs {
+
+Breaker::Breaker(const BreakerOptions& options) : options_(options) {}
+
+bool Breaker::Allow(Instant now) {
+  if (!open_) return true;
+  if (probing_ || now < probe_at_) return false;
+  probing_ = true;
+  return true;
+}
+
+void Breaker::OnSuccess() {
+  open_ = false;
+  probing_ = false;
+  failures_ = 0;
+  pause_ = Millis(0);
+}
+
+void Breaker::OnFailure(Instant now) {
+  ++failures_;
+  if (open_) {
+    // A task that started before the breaker opened is not the probe's verdict,
+    // but it does not speak for the backend server either.
+    Open(now);
+    return;
+  }
+  if (failures_ >= options_.failures_to_open) Open(now);
+}
+
+void Breaker::OnProbeUnused() { probing_ = false; }
+
+void Breaker::Open(Instant now) {
+  const bool was_probe = open_ && probing_;
+  if (!open_) {
+    pause_ = options_.first_pause;
+  } else if (was_probe) {
+    pause_ = std::min(pause_ * 2, options_.longest_pause);
+  }
+  open_ = true;
+  probing_ = false;
+  probe_at_ = now + pause_;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/core/home.cc
@@ -0,0 +1,693 @@
+#include "core/home.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "core/observer.h"
+
+namespace qs {
+namespace {
+
+// Load that came by gossip replaces that of a direct reply older than this.
+constexpr Millis kReplyLoadLifetime{500};
+
+TaskResult Ended(Outcome outcome, Reason reason) {
+  return {outcome, reason, {}};
+}
+
+}  // namespace
+
+std::unique_ptr<Home> Home::Make(const HomeOptions& options,
+                                 std::unique_ptr<PlacementPolicy> policy,
+                                 Observer* observer, uint32_t seed) {
+  assert(policy != nullptr);
+  assert(observer != nullptr);
+  return std::unique_ptr<Home>(
+      new Home(options, std::move(policy), observer, seed));
+}
+
+Home::Home(const HomeOptions& options, std::unique_ptr<PlacementPolicy> policy,
+           Observer* observer, uint32_t seed)
+    : options_(options),
+      policy_(std::move(policy)),
+      observer_(observer),
+      random_(seed),
+      minter_(options.id_lifetime) {}
+
+// Requests of callers.
+
+MintReply Home::OnMint(const MintRequest& request, Instant now) {
+  MintReply reply;
+  reply.request = request.request;
+  if (stopping_) {
+    reply.reason = Reason::kStopping;
+    observer_->Refused(reply.reason);
+    return reply;
+  }
+  reply.count = std::clamp<uint32_t>(request.count, 1, options_.max_mint);
+  reply.first = minter_.Mint(reply.count, now);
+  reply.lifetime = minter_.lifetime();
+  return reply;
+}
+
+void Home::OnSubmit(uint64_t session, SubmitRequest request, Instant now) {
+  const uint64_t sequence = request.sequence;
+  const auto found = jobs_.find(sequence);
+  if (found != jobs_.end()) {
+    if (found->second.digest != request.job.Digest()) {
+      AnswerRefusal(session, request.request, Reason::kContentConflict);
+      return;
+    }
+    AttachWaiter(&found->second, {session, request.request, now + request.wait},
+                 now);
+    return;
+  }
+  switch (minter_.StandingOf(sequence)) {
+    case Minter::Standing::kNeverMinted:
+      AnswerRefusal(session, request.request, Reason::kIdNotMinted);
+      return;
+    case Minter::Standing::kSpent:
+      AnswerRefusal(session, request.request, Reason::kIdRetired);
+      return;
+    case Minter::Standing::kOpen:
+      break;
+  }
+  minter_.Spend(sequence);
+  const uint64_t request_number = request.request;
+  const Instant until = now + request.wait;
+  const Reason refusal = AdmissionRefusal(request.job);
+  if (refusal != Reason::kNone) {
+    RefuseForGood(sequence, request, refusal, now);
+  } else {
+    Admit(sequence, std::move(request), now);
+  }
+  AttachWaiter(&jobs_.at(sequence), {session, request_number, until}, now);
+  Dispatch(now);
+}
+
+Reason Home::AdmissionRefusal(const JobSpec& job) const {
+  if (stopping_) return Reason::kStopping;
+  const Reason refusal = PlacementRefusal(DemandOf(job));
+  if (refusal != Reason::kNone) return refusal;
+  if (running_jobs_ >= options_.max_jobs ||
+      waiting_ + job.payloads.size() > options_.max_waiting_tasks) {
+    return Reason::kHomeOverloaded;
+  }
+  return Reason::kNone;
+}
+
+// Tells a demand that nobody can meet from one that somebody may meet again.
+Reason Home::PlacementRefusal(const Demand& demand) const {
+  for (const auto& [incarnation, executor] : executors_) {
+    if (Meets(executor, demand)) return Reason::kNone;
+  }
+  bool service_seen = false;
+  for (const auto& [offer, seen] : offers_seen_) {
+    if (Meets(offer, demand)) return Reason::kNoGuardAvailable;
+    service_seen = service_seen || offer.service == demand.service;
+  }
+  if (!is_warm_) return Reason::kWarmingUp;
+  return service_seen ? Reason::kConstraintUnmet : Reason::kNoSuchService;
+}
+
+bool Home::Meets(const Executor& executor, const Demand& demand) {
+  return std::any_of(
+      executor.services.begin(), executor.services.end(),
+      [&](const std::string& service) {
+        return Meets({service, executor.zone, executor.worker_kind}, demand);
+      });
+}
+
+bool Home::Meets(const Demand& offer, const Demand& demand) {
+  if (offer.service != demand.service) return false;
+  if (!demand.zone.empty() && offer.zone != demand.zone) return false;
+  return demand.worker_kind.empty() || offer.worker_kind == demand.worker_kind;
+}
+
+Home::Demand Home::DemandOf(const JobSpec& job) {
+  return {job.service, job.zone, job.worker_kind};
+}
+
+void Home::Admit(uint64_t sequence, SubmitRequest request, Instant now) {
+  Job& job = jobs_[sequence];
+  job.sequence = sequence;
+  job.digest = request.job.Digest();
+  job.spec = std::move(request.job);
+  job.tasks.resize(job.spec.payloads.size());
+  job.open = static_cast<uint32_t>(job.tasks.size());
+  job.accepted = now;
+  job.deadline = now + std::min(job.spec.deadline, options_.max_deadline);
+  job.finish_by = job.deadline + options_.end_grace;
+  deadlines_.insert({job.deadline, sequence});
+  ++running_jobs_;
+  waiting_ += job.tasks.size();
+  Backlog& backlog = backlogs_[DemandOf(job.spec)];
+  for (uint32_t task = 0; task < job.tasks.size(); ++task) {
+    backlog.Push(job.spec.team, {sequence, task});
+  }
+}
+
+// The refusal is the answer of this id from now on: a late copy of the request
+// must not run after the caller was told "not run".
+void Home::RefuseForGood(uint64_t sequence, const SubmitRequest& request,
+                         Reason reason, Instant now) {
+  Job& job = jobs_[sequence];
+  job.sequence = sequence;
+  job.digest = request.job.Digest();
+  job.spec.team = request.job.team;
+  job.spec.service = request.job.service;
+  job.spec.label = request.job.label;
+  job.state = JobState::kRefused;
+  job.reason = reason;
+  job.accepted = now;
+  job.ended = now;
+  job.delivered = true;
+  ended_.push_back(sequence);
+  observer_->Refused(reason);
+}
+
+void Home::AnswerRefusal(uint64_t session, uint64_t request, Reason reason) {
+  observer_->Refused(reason);
+  JobAnswer answer;
+  answer.state = JobState::kRefused;
+  answer.reason = reason;
+  actions_.emplace_back(SendAnswer{session, {request, std::move(answer)}});
+}
+
+void Home::OnQuery(uint64_t session, const QueryRequest& request, Instant now) {
+  const auto found = jobs_.find(request.sequence);
+  if (found != jobs_.end()) {
+    AttachWaiter(&found->second, {session, request.request, now + request.wait},
+                 now);
+    return;
+  }
+  switch (minter_.StandingOf(request.sequence)) {
+    case Minter::Standing::kNeverMinted:
+      AnswerRefusal(session, request.request, Reason::kIdNotMinted);
+      return;
+    case Minter::Standing::kSpent:
+      AnswerRefusal(session, request.request, Reason::kIdRetired);
+      return;
+    case Minter::Standing::kOpen:
+      AnswerRefusal(session, request.request, Reason::kNotHandedIn);
+      return;
+  }
+}
+
+void Home::OnCancel(uint64_t session, const CancelRequest& request,
+                    Instant now) {
+  const uint64_t sequence = request.sequence;
+  if (minter_.StandingOf(sequence) == Minter::Standing::kOpen) {
+    // From now on the id refuses the job that it was minted for.
+    minter_.Spend(sequence);
+    RefuseForGood(sequence, {}, Reason::kCancelled, now);
+  }
+  const auto found = jobs_.find(sequence);
+  if (found != jobs_.end() && found->second.state == JobState::kRunning) {
+    Job& job = found->second;
+    job.finish_by = std::min(job.finish_by, now + options_.end_grace);
+    deadlines_.insert({job.finish_by, sequence});
+    StopJob(&job, Reason::kCancelled, now);
+  }
+  OnQuery(session, {request.request, sequence, request.wait}, now);
+  Dispatch(now);
+}
+
+void Home::OnSessionClosed(uint64_t session) {
+  for (auto& [sequence, job] : jobs_) {
+    std::erase_if(job.waiters, [&](const Waiter& waiter) {
+      return waiter.session == session;
+    });
+  }
+}
+
+void Home::AttachWaiter(Job* job, const Waiter& waiter, Instant now) {
+  if (job->state != JobState::kRunning || waiter.until <= now) {
+    Deliver(job, waiter);
+    return;
+  }
+  job->waiters.push_back(waiter);
+  waits_.insert({waiter.until, job->sequence});
+}
+
+void Home::Deliver(Job* job, const Waiter& waiter) {
+  if (job->state != JobState::kRunning && !job->delivered) {
+    job->delivered = true;
+    --undelivered_;
+  }
+  JobAnswer answer = AnswerOf(*job);
+  if (DispositionOf(answer.reason) == Disposition::kTryLater) {
+    answer.retry_after = options_.retry_after;
+  }
+  actions_.emplace_back(
+      SendAnswer{waiter.session, {waiter.request, std::move(answer)}});
+}
+
+JobAnswer Home::AnswerOf(const Job& job) {
+  JobAnswer answer;
+  answer.state = job.state;
+  answer.reason = job.reason;
+  if (job.state == JobState::kRunning) return answer;
+  answer.results.reserve(job.tasks.size());
+  for (const Task& task : job.tasks) answer.results.push_back(task.result);
+  return answer;
+}
+
+// Executors.
+
+void Home::OnMember(const MemberRecord& record, bool is_live, Instant now) {
+  if (record.role != Role::kGuard) return;
+  for (const std::string& service : record.services) {
+    offers_seen_[{service, record.zone, record.worker_kind}] = now;
+  }
+  Executor& executor = executors_[record.incarnation];
+  executor.address = record.address;
+  executor.zone = record.zone;
+  executor.worker_kind = record.worker_kind;
+  executor.services = record.services;
+  executor.is_live = is_live;
+  if (now - executor.load_heard > kReplyLoadLifetime) {
+    executor.load = record.load;
+    const auto total = record.load.running + record.load.queued;
+    const auto mine = static_cast<uint32_t>(executor.open.size());
+    executor.others = total > mine ? total - mine : 0;
+  }
+}
+
+void Home::OnExecutorUp(Address address, Incarnation incarnation, Instant now) {
+  Executor& executor = executors_[incarnation];
+  executor.address = address;
+  executor.is_connected = true;
+  executor.is_live = true;
+  if (!executor.open.empty()) {
+    // Replies may have been lost with the old connection.
+    AskFor(incarnation, {executor.open.begin(), executor.open.end()}, false);
+  }
+  Dispatch(now);
+}
+
+void Home::OnExecutorCutOff(Incarnation incarnation, Instant now) {
+  const auto found = executors_.find(incarnation);
+  if (found == executors_.end() || !found->second.is_connected) return;
+  found->second.is_connected = false;
+  found->second.cut_off_at = now;
+}
+
+void Home::OnExecutorGone(Incarnation incarnation, Instant now) {
+  LoseExecutor(incarnation, Reason::kExecutorLost, now);
+  executors_.erase(incarnation);
+  Dispatch(now);
+}
+
+void Home::LoseExecutor(Incarnation incarnation, Reason reason, Instant now) {
+  const auto found = executors_.find(incarnation);
+  if (found == executors_.end()) return;
+  found->second.batch.clear();
+  const std::vector<GrantNumber> open(found->second.open.begin(),
+                                      found->second.open.end());
+  for (const GrantNumber number : open) {
+    const TaskRef ref = grants_.at(number).task;
+    CloseGrant(number);
+    EndTask(&jobs_.at(ref.sequence), ref.task, Ended(Outcome::kUnknown, reason),
+            now);
+  }
+}
+
+void Home::OnReplies(Incarnation incarnation, GrantReplies replies,
+                     Instant now) {
+  const auto found = executors_.find(incarnation);
+  if (found == executors_.end()) return;
+  Executor& executor = found->second;
+  const Load& load = replies.load;
+  executor.load = load;
+  executor.load_heard = now;
+  const uint32_t total = load.running + load.queued;
+  executor.others = total > load.yours ? total - load.yours : 0;
+  for (GrantStatus& status : replies.statuses) {
+    OnStatus(incarnation, std::move(status), now);
+  }
+  // A stopping guard leaves once its results are acknowledged.
+  if (load.state == ServingState::kStopping) AskFor(incarnation, {}, false);
+  Dispatch(now);
+}
+
+void Home::OnStatus(Incarnation incarnation, GrantStatus status, Instant now) {
+  const auto grant = grants_.find(status.number);
+  // Only the open attempt counts; a reply to an earlier one decides nothing.
+  if (grant == grants_.end() || grant->second.executor != incarnation) return;
+  const TaskRef ref = grant->second.task;
+  Job& job = jobs_.at(ref.sequence);
+  Task& task = job.tasks[ref.task];
+  if (status.phase != GrantPhase::kEnded) {
+    task.known_running = status.phase == GrantPhase::kRunning;
+    return;
+  }
+  CloseGrant(status.number);
+  const bool is_returned = status.result.outcome == Outcome::kNotRun;
+  if (is_returned && job.stop_reason == Reason::kNone &&
+      status.result.reason != Reason::kDeadlinePassed) {
+    ReturnTask(ref, status.result.reason, now);
+    return;
+  }
+  if (is_returned && job.stop_reason != Reason::kNone) {
+    status.result.reason = job.stop_reason;
+  }
+  EndTask(&job, ref.task, std::move(status.result), now);
+}
+
+void Home::CloseGrant(GrantNumber number) {
+  const auto grant = grants_.find(number);
+  assert(grant != grants_.end());
+  const auto executor = executors_.find(grant->second.executor);
+  if (executor != executors_.end()) executor->second.open.erase(number);
+  grants_.erase(grant);
+}
+
+void Home::ReturnTask(TaskRef ref, Reason reason, Instant /*now*/) {
+  Job& job = jobs_.at(ref.sequence);
+  Task& task = job.tasks[ref.task];
+  task.phase = Phase::kWaiting;
+  task.known_running = false;
+  task.grant = 0;
+  ++waiting_;
+  observer_->Retried(reason);
+  backlogs_[DemandOf(job.spec)].PushFront(job.spec.team, ref);
+}
+
+// Granting.
+
+void Home::Dispatch(Instant now) {
+  for (auto& [demand, backlog] : backlogs_) {
+    while (DispatchNext(demand, &backlog, now)) {
+    }
+  }
+}
+
+// Grants the next task of a backlog. Returns false when none can be granted.
+bool Home::DispatchNext(const Demand& demand, Backlog* backlog, Instant now) {
+  if (backlog->empty()) return false;
+  Incarnation incarnation;
+  Executor* executor = ChooseExecutor(demand, &incarnation);
+  if (executor == nullptr) return false;
+  const TaskRef ref = backlog->Pop();
+  const auto job = jobs_.find(ref.sequence);
+  // Tasks that ended while waiting are still listed.
+  if (job == jobs_.end()) return true;
+  if (job->second.tasks.empty()) return true;
+  if (job->second.tasks[ref.task].phase != Phase::kWaiting) return true;
+  GrantTo(incarnation, executor, ref, now);
+  return true;
+}
+
+Home::Executor* Home::ChooseExecutor(const Demand& demand,
+                                     Incarnation* incarnation) {
+  std::vector<Candidate> candidates;
+  std::vector<std::pair<Incarnation, Executor*>> executors;
+  for (auto& [number, executor] : executors_) {
+    if (RoomAt(executor) == 0 || !Meets(executor, demand)) continue;
+    candidates.push_back({executor.load.slots, OutstandingAt(executor),
+                          executor.zone == options_.zone});
+    executors.emplace_back(number, &executor);
+  }
+  if (candidates.empty()) return nullptr;
+  const size_t chosen = policy_->Choose(candidates, &random_);
+  *incarnation = executors[chosen].first;
+  return executors[chosen].second;
+}
+
+uint32_t Home::OutstandingAt(const Executor& executor) {
+  return executor.others + static_cast<uint32_t>(executor.open.size());
+}
+
+uint32_t Home::RoomAt(const Executor& executor) const {
+  if (!executor.is_connected || !executor.is_live) return 0;
+  if (executor.load.state != ServingState::kServing) return 0;
+  const uint32_t slots = executor.load.slots;
+  const uint32_t limit = slots + slots * options_.queue_per_slot;
+  const uint32_t outstanding = OutstandingAt(executor);
+  return outstanding < limit ? limit - outstanding : 0;
+}
+
+void Home::GrantTo(Incarnation incarnation, Executor* executor, TaskRef ref,
+                   Instant now) {
+  Job& job = jobs_.at(ref.sequence);
+  Task& task = job.tasks[ref.task];
+  assert(task.phase == Phase::kWaiting);
+  assert(job.stop_reason == Reason::kNone);
+  const GrantNumber number = next_grant_++;
+  task.phase = Phase::kGranted;
+  task.grant = number;
+  ++task.attempts;
+  --waiting_;
+  grants_[number] = {ref, incarnation, now};
+  executor->open.insert(number);
+  const auto remaining = std::chrono::duration_cast<Millis>(job.deadline - now);
+  executor->batch.push_back({number, std::max(remaining, Millis(1)),
+                             job.spec.service, job.spec.payloads[ref.task]});
+}
+
+GrantNumber Home::WatermarkOf(const Executor& executor) const {
+  return executor.open.empty() ? next_grant_ : *executor.open.begin();
+}
+
+void Home::AskFor(Incarnation incarnation, std::vector<GrantNumber> numbers,
+                  bool withdraw) {
+  const auto found = executors_.find(incarnation);
+  if (found == executors_.end()) return;
+  actions_.emplace_back(SendAsk{
+      incarnation,
+      {WatermarkOf(found->second), incarnation, withdraw, std::move(numbers)}});
+}
+
+std::vector<HomeAction> Home::TakeActions() {
+  std::vector<HomeAction> actions;
+  // Grants go before questions about them.
+  for (auto& [incarnation, executor] : executors_) {
+    if (executor.batch.empty()) continue;
+    actions.emplace_back(SendGrants{incarnation,
+                                    {WatermarkOf(executor), incarnation,
+                                     std::exchange(executor.batch, {})}});
+  }
+  std::move(actions_.begin(), actions_.end(), std::back_inserter(actions));
+  actions_.clear();
+  return actions;
+}
+
+// The end of tasks and jobs.
+
+void Home::EndTask(Job* job, uint32_t index, TaskResult result, Instant now) {
+  Task& task = job->tasks[index];
+  assert(task.phase != Phase::kEnded);
+  if (task.phase == Phase::kWaiting) --waiting_;
+  task.phase = Phase::kEnded;
+  task.result = std::move(result);
+  --job->open;
+  observer_->TaskEnded(task.result.outcome, task.result.reason);
+  const bool succeeded = task.result.outcome == Outcome::kDone;
+  if (!succeeded && job->reason == Reason::kNone) {
+    job->reason = task.result.reason;
+  }
+  if (job->open == 0) {
+    FinishJob(job, now);
+  } else if (!succeeded && job->spec.on_failure == OnFailure::kStop) {
+    StopJob(job, Reason::kJobStopped, now);
+  }
+}
+
+// No further task of the job starts. Those that an executor holds are withdrawn
+// and end with its reply.
+void Home::StopJob(Job* job, Reason reason, Instant now) {
+  if (job->stop_reason != Reason::kNone) return;
+  job->stop_reason = reason;
+  std::map<Incarnation, std::vector<GrantNumber>> withdrawn;
+  for (const Task& task : job->tasks) {
+    if (task.phase != Phase::kGranted) continue;
+    withdrawn[grants_.at(task.grant).executor].push_back(task.grant);
+  }
+  for (auto& [executor, numbers] : withdrawn) {
+    AskFor(executor, std::move(numbers), true);
+  }
+  for (uint32_t i = 0; i < job->tasks.size(); ++i) {
+    if (job->tasks[i].phase != Phase::kWaiting) continue;
+    EndTask(job, i, Ended(Outcome::kNotRun, reason), now);
+  }
+}
+
+// The executors had their time to reply.
+void Home::AbandonOpenTasks(Job* job, Instant now) {
+  const Reason running_reason = job->stop_reason == Reason::kCancelled
+                                    ? Reason::kRunningAtCancel
+                                    : Reason::kRunningAtDeadline;
+  for (uint32_t i = 0; i < job->tasks.size(); ++i) {
+    Task& task = job->tasks[i];
+    if (task.phase != Phase::kGranted) continue;
+    const Reason reason =
+        task.known_running ? running_reason : Reason::kExecutorUnreachable;
+    CloseGrant(task.grant);
+    EndTask(job, i, Ended(Outcome::kUnknown, reason), now);
+  }
+}
+
+void Home::FinishJob(Job* job, Instant now) {
+  assert(job->state == JobState::kRunning);
+  const bool complete = job->reason == Reason::kNone;
+  job->state = complete ? JobState::kComplete : JobState::kFailed;
+  job->ended = now;
+  job->spec.payloads.clear();
+  job->spec.payloads.shrink_to_fit();
+  for (Task& task : job->tasks) {
+    // A failed job gives out no results that could pass for its answer.
+    if (!complete) task.result.output = std::string();
+    job->answer_bytes += task.result.output.size() + sizeof(Task);
+  }
+  --running_jobs_;
+  ++undelivered_;
+  kept_bytes_ += job->answer_bytes;
+  ended_.push_back(job->sequence);
+  observer_->JobEnded(job->state,
+                      std::chrono::duration_cast<Millis>(now - job->accepted));
+  for (const Waiter& waiter : std::exchange(job->waiters, {})) {
+    Deliver(job, waiter);
+  }
+}
+
+// Time.
+
+void Home::OnTimer(Instant now) {
+  minter_.OnTimer(now);
+  CheckDeadlines(now);
+  CheckWaiters(now);
+  CheckExecutors(now);
+  RetireAnswers(now);
+  std::erase_if(offers_seen_, [&](const auto& offer) {
+    return now - offer.second >= options_.offer_memory;
+  });
+  Dispatch(now);
+}
+
+void Home::CheckDeadlines(Instant now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const uint64_t sequence = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    const auto found = jobs_.find(sequence);
+    if (found == jobs_.end()) continue;
+    Job& job = found->second;
+    if (job.state != JobState::kRunning) continue;
+    if (now >= job.finish_by) {
+      StopJob(&job, Reason::kDeadlinePassed, now);
+      if (job.state == JobState::kRunning) {
+        AbandonOpenTasks(&job, now);
+      }
+    } else if (now >= job.deadline) {
+      deadlines_.insert({job.finish_by, sequence});
+      StopJob(&job, Reason::kDeadlinePassed, now);
+    }
+  }
+}
+
+void Home::CheckWaiters(Instant now) {
+  while (!waits_.empty() && waits_.begin()->first <= now) {
+    const uint64_t sequence = waits_.begin()->second;
+    waits_.erase(waits_.begin());
+    const auto found = jobs_.find(sequence);
+    if (found == jobs_.end()) continue;
+    Job& job = found->second;
+    const auto expired =
+        std::stable_partition(job.waiters.begin(), job.waiters.end(),
+                              [&](const Waiter& w) { return w.until > now; });
+    const std::vector<Waiter> due(expired, job.waiters.end());
+    job.waiters.erase(expired, job.waiters.end());
+    for (const Waiter& waiter : due) Deliver(&job, waiter);
+  }
+}
+
+void Home::CheckExecutors(Instant now) {
+  std::vector<Incarnation> lost;
+  for (auto& [incarnation, executor] : executors_) {
+    if (!executor.is_connected) {
+      const bool is_overdue = now - executor.cut_off_at >= options_.lost_after;
+      if (is_overdue && !executor.open.empty()) lost.push_back(incarnation);
+      continue;
+    }
+    std::vector<GrantNumber> overdue;
+    for (const GrantNumber number : executor.open) {
+      OpenGrant& grant = grants_.at(number);
+      if (now - grant.asked < options_.ask_after) continue;
+      grant.asked = now;
+      overdue.push_back(number);
+    }
+    if (!overdue.empty()) AskFor(incarnation, std::move(overdue), false);
+  }
+  for (const Incarnation incarnation : lost) {
+    LoseExecutor(incarnation, Reason::kExecutorUnreachable, now);
+  }
+}
+
+void Home::RetireAnswers(Instant now) {
+  while (!ended_.empty()) {
+    const auto found = jobs_.find(ended_.front());
+    assert(found != jobs_.end());
+    const Job& job = found->second;
+    const bool is_old = now - job.ended >= options_.answer_retention;
+    if (!is_old && kept_bytes_ <= options_.max_answer_bytes) return;
+    kept_bytes_ -= job.answer_bytes;
+    if (!job.delivered) --undelivered_;
+    jobs_.erase(found);
+    ended_.pop_front();
+  }
+}
+
+// Operators' queries.
+
+std::vector<JobRow> Home::Jobs(Instant now) const {
+  std::vector<JobRow> rows;
+  rows.reserve(jobs_.size());
+  for (const auto& [sequence, job] : jobs_) {
+    JobRow row;
+    row.sequence = sequence;
+    row.team = job.spec.team;
+    row.service = job.spec.service;
+    row.label = job.spec.label;
+    row.state = job.state;
+    row.reason = job.reason;
+    row.age = std::chrono::duration_cast<Millis>(now - job.accepted);
+    row.tasks = static_cast<uint32_t>(job.tasks.size());
+    for (const Task& task : job.tasks) {
+      row.waiting += task.phase == Phase::kWaiting ? 1 : 0;
+      row.granted += task.phase == Phase::kGranted ? 1 : 0;
+      if (task.phase != Phase::kEnded) continue;
+      row.done += task.result.outcome == Outcome::kDone ? 1 : 0;
+      row.failed += task.result.outcome == Outcome::kFailed ? 1 : 0;
+      row.not_run += task.result.outcome == Outcome::kNotRun ? 1 : 0;
+      row.unknown += task.result.outcome == Outcome::kUnknown ? 1 : 0;
+    }
+    rows.push_back(std::move(row));
+  }
+  std::sort(rows.begin(), rows.end(), [](const JobRow& a, const JobRow& b) {
+    return a.sequence < b.sequence;
+  });
+  return rows;
+}
+
+std::vector<TaskRow> Home::Tasks(uint64_t sequence) const {
+  std::vector<TaskRow> rows;
+  const auto found = jobs_.find(sequence);
+  if (found == jobs_.end()) return rows;
+  const Job& job = found->second;
+  for (uint32_t i = 0; i < job.tasks.size(); ++i) {
+    const Task& task = job.tasks[i];
+    TaskRow row{sequence, i, "waiting", task.result.reason, task.attempts, {}};
+    if (task.phase == Phase::kEnded) {
+      row.state = OutcomeName(task.result.outcome);
+    } else if (task.phase == Phase::kGranted) {
+      row.state = task.known_running ? "running" : "granted";
+      const auto executor = executors_.find(grants_.at(task.grant).executor);
+      if (executor != executors_.end()) row.executor = executor->second.address;
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/core/membership.cc
@@ -0,0 +1,134 @@
+#include "core/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace qs {
+
+Membership::Membership(const MembershipOptions& options, MemberRecord self,
+                       uint32_t seed)
+    : options_(options), self_(std::move(self)), random_(seed) {}
+
+void Membership::AddSeed(Address address) {
+  if (address == self_.address) return;
+  if (std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end()) return;
+  seeds_.push_back(address);
+}
+
+void Membership::UpdateSelf(const Load& load,
+                            const std::vector<std::string>& services,
+                            uint64_t config_version) {
+  self_.load = load;
+  self_.services = services;
+  self_.config_version = config_version;
+}
+
+Gossip Membership::OnGossip(const Gossip& gossip, Instant now, bool* changed) {
+  for (const MemberRecord& record : gossip.members) {
+    if (Merge(record, now)) *changed = true;
+  }
+  return gossip.want_reply ? MakeGossip(false) : Gossip{};
+}
+
+bool Membership::Merge(const MemberRecord& record, Instant now) {
+  if (record.address == self_.address) {
+    // An earlier run at this address still circulates; outrank it.
+    if (record.incarnation != self_.incarnation) {
+      self_.version = std::max(self_.version, record.version + 1);
+    }
+    return false;
+  }
+  const auto [entry, is_new] = peers_.try_emplace(record.address);
+  Peer& peer = entry->second;
+  if (!is_new && record.version <= peer.record.version) return false;
+  const bool changed = is_new || !peer.is_live ||
+                       record.incarnation != peer.record.incarnation ||
+                       record.services != peer.record.services;
+  peer.record = record;
+  peer.heard = now;
+  peer.is_live = true;
+  return changed;
+}
+
+void Membership::OnIncarnation(Address address, Incarnation incarnation,
+                               Instant now) {
+  const auto found = peers_.find(address);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  if (peer.record.incarnation == incarnation) return;
+  peer.record.incarnation = incarnation;
+  peer.heard = now;
+}
+
+std::vector<SendGossip> Membership::OnRound(Instant /*now*/) {
+  ++self_.version;
+  const Gossip gossip = MakeGossip(true);
+  std::vector<SendGossip> out;
+  for (const Address target : ChooseTargets()) {
+    out.push_back({target, gossip});
+  }
+  return out;
+}
+
+std::vector<Address> Membership::ChooseTargets() {
+  std::vector<Address> targets;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.is_live) targets.push_back(address);
+  }
+  // unordered_map order differs between libraries; sort before the shuffle so
+  // that a seed gives the same choice everywhere.
+  std::sort(targets.begin(), targets.end());
+  std::shuffle(targets.begin(), targets.end(), random_);
+  if (targets.size() > options_.fanout) targets.resize(options_.fanout);
+  // One address of which nothing was heard lately: a seed or a silent member.
+  std::vector<Address> silent;
+  for (const Address seed : seeds_) {
+    if (!peers_.contains(seed)) silent.push_back(seed);
+  }
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.is_live) silent.push_back(address);
+  }
+  if (!silent.empty()) {
+    std::sort(silent.begin(), silent.end());
+    std::uniform_int_distribution<size_t> index(0, silent.size() - 1);
+    targets.push_back(silent[index(random_)]);
+  }
+  return targets;
+}
+
+Gossip Membership::MakeGossip(bool want_reply) const {
+  std::vector<const Peer*> freshest;
+  freshest.reserve(peers_.size());
+  for (const auto& [address, peer] : peers_) {
+    if (peer.is_live) freshest.push_back(&peer);
+  }
+  const size_t count = std::min<size_t>(options_.max_records, freshest.size());
+  std::partial_sort(
+      freshest.begin(), freshest.begin() + static_cast<ptrdiff_t>(count),
+      freshest.end(),
+      [](const Peer* a, const Peer* b) { return a->heard > b->heard; });
+  Gossip gossip{want_reply, {self_}};
+  for (size_t i = 0; i < count; ++i) {
+    gossip.members.push_back(freshest[i]->record);
+  }
+  return gossip;
+}
+
+bool Membership::OnTimer(Instant now) {
+  bool changed = false;
+  for (auto entry = peers_.begin(); entry != peers_.end();) {
+    Peer& peer = entry->second;
+    const auto silence = now - peer.heard;
+    const bool is_live = silence < options_.suspect_after;
+    if (is_live != peer.is_live) changed = true;
+    peer.is_live = is_live;
+    if (silence >= options_.forget_after) {
+      entry = peers_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return changed;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "wire/messages.h"
+
+namespace qs {
+
+struct MembershipOptions {
+  uint32_t fanout = 3;           // Members told in each round.
+  uint32_t max_records = 64;     // Per gossip message.
+  Millis suspect_after{3000};    // Without news a member gets no new work.
+  Millis forget_after{600'000};  // Without news a member is dropped.
+};
+
+struct SendGossip {
+  Address to;
+  Gossip gossip;
+};
+
+// What this process knows of all others. Each process raises the version of its
+// own record and passes on the freshest records it has; the higher version at
+// an address wins. No I/O, no threads.
+class Membership {
+ public:
+  // What is known of one other process.
+  struct Peer {
+    MemberRecord record;
+    Instant heard;         // When its version last rose here.
+    bool is_live = false;  // Heard of within suspect_after.
+  };
+
+  Membership(const MembershipOptions& options, MemberRecord self,
+             uint32_t seed);
+
+  const MemberRecord& self() const { return self_; }
+  const std::unordered_map<Address, Peer>& peers() const { return peers_; }
+
+  // An address to try, of which nothing else is known yet.
+  void AddSeed(Address address);
+  // Replaces load, services and configuration version of the own record.
+  void UpdateSelf(const Load& load, const std::vector<std::string>& services,
+                  uint64_t config_version);
+  // Returns the records to send back when the sender wants them. Sets
+  // `*changed` when a member was new or changed its incarnation.
+  Gossip OnGossip(const Gossip& gossip, Instant now, bool* changed);
+  // Another incarnation than the recorded one answered at this address.
+  void OnIncarnation(Address address, Incarnation incarnation, Instant now);
+  // One round: raises the own version and chooses whom to tell.
+  std::vector<SendGossip> OnRound(Instant now);
+  // Re-judges who is live. Returns whether that changed for any member.
+  bool OnTimer(Instant now);
+
+ private:
+  Gossip MakeGossip(bool want_reply) const;
+  bool Merge(const MemberRecord& record, Instant now);
+  std::vector<Address> ChooseTargets();
+
+  MembershipOptions options_;
+  MemberRecord self_;
+  std::minstd_rand random_;
+  std::unordered_map<Address, Peer> peers_;
+  std::vector<Address> seeds_;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/backend_pool.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "core/executor.h"
+
+namespace qs {
+
+class HttpClient;
+
+// A finished attempt.
+struct TaskEnd {
+  GrantKey key;
+  TaskResult result;
+  Clock::duration run_time{0};
+};
+
+// Makes the attempts on the backend server, one HTTP request for each, on
+// threads of its own. A request is never repeated: an attempt ends "not run"
+// only where not a byte of it left this process.
+class BackendPool {
+ public:
+  using EndCallback = std::function<void(TaskEnd)>;
+
+  // `on_end` is called on the pool's threads.
+  BackendPool(Millis idle_limit, EndCallback on_end);
+  ~BackendPool();
+  BackendPool(const BackendPool&) = delete;
+  BackendPool& operator=(const BackendPool&) = delete;
+
+  // Adds threads up to the number of slots.
+  void Reserve(uint32_t slots);
+  void Submit(StartTask task);
+  // Waits for the attempts in progress.
+  void Stop();
+
+ private:
+  void Run();
+  static TaskResult Attempt(HttpClient* client, const StartTask& task);
+
+  Millis idle_limit_;
+  EndCallback on_end_;
+  std::mutex mutex_;
+  std::condition_variable has_work_;
+  std::deque<StartTask> tasks_;
+  bool stopped_ = false;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/entry_role.cc
@@ -0,0 +1,249 @@
+#include "daemon/entry_role.h"
+
+#include <array>
+#include <asio/post.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "daemon/node.h"
+#include "daemon/operator_api.h"
+#include "daemon/process_routes.h"
+#include "http/job_json.h"
+
+namespace qs {
+namespace {
+
+constexpr Millis kCallTick{50};
+constexpr Millis kLongestWait{60'000};
+// Beyond the caller's wait, for the way to the home and back.
+constexpr Millis kReplyMargin{10'000};
+
+const bool kRegistered =
+    RoleRegistry::Instance().Register("entry", &EntryRole::Make);
+
+// The query's wait in milliseconds. Fails with a finding when it is no number.
+Checked<Millis> WaitOf(const HttpRequest& request) {
+  const auto found = request.query.find("wait");
+  if (found == request.query.end()) return Millis(0);
+  const std::string& text = found->second;
+  uint32_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end ||
+      Millis(value) > kLongestWait) {
+    return tl::unexpected(
+        Findings("?wait", "must be a whole number of milliseconds up to " +
+                              std::to_string(kLongestWait.count())));
+  }
+  return Millis(value);
+}
+
+}  // namespace
+
+std::unique_ptr<RolePlugin> EntryRole::Make(Kernel* kernel) {
+  (void)kRegistered;
+  return std::unique_ptr<RolePlugin>(new EntryRole(kernel));
+}
+
+EntryRole::EntryRole(Kernel* kernel)
+    : kernel_(kernel),
+      view_(std::make_unique<GuardView>()),
+      calls_(&kernel->io, kernel->settings.home_lost_after),
+      ids_(&calls_, &view_, kernel->settings.id_block) {}
+
+EntryRole::~EntryRole() { OnFinish(); }
+
+std::error_code EntryRole::OnStart() {
+  auto node = Node::Make(kernel_, Role::kEntry, this, [this] { OnMembers(); });
+  if (!node) return node.error();
+  node_ = std::move(*node);
+  calls_.SetNetwork(&node_->network());
+  kernel_->timers.Subscribe(kCallTick,
+                            [this](Instant now) { calls_.OnTimer(now); });
+  operators_ = std::make_unique<OperatorApi>(kernel_, &calls_, &view_);
+  return StartHttp();
+}
+
+void EntryRole::OnBeginStop() {
+  stopping_ = true;
+  is_ready_ = false;
+}
+
+bool EntryRole::OnIsIdle() const {
+  return in_progress_ == 0 && calls_.pending() == 0;
+}
+
+void EntryRole::OnFinish() {
+  if (http_) http_->Stop();
+  if (node_) node_->Close();
+}
+
+void EntryRole::OnLinkUp(Address address, const Hello& hello) {
+  calls_.OnLinkUp(address, hello.incarnation);
+}
+
+void EntryRole::OnLinkDown(Address /*address*/, Incarnation /*incarnation*/) {}
+
+void EntryRole::OnPeerGone(Address address, Incarnation incarnation) {
+  calls_.OnPeerGone(address, incarnation);
+}
+
+void EntryRole::OnLinkMessage(Address /*address*/, Incarnation /*incarnation*/,
+                              Message message) {
+  uint64_t request = 0;
+  if (const auto* job = std::get_if<JobReply>(&message)) {
+    request = job->request;
+  } else if (const auto* mint = std::get_if<MintReply>(&message)) {
+    request = mint->request;
+  } else if (const auto* admin = std::get_if<AdminReply>(&message)) {
+    request = admin->request;
+  }
+  calls_.OnReply(request, std::move(message));
+}
+
+void EntryRole::OnSessionUp(uint64_t /*session*/, const Hello& /*hello*/) {}
+void EntryRole::OnSessionMessage(uint64_t /*session*/, const Hello& /*hello*/,
+                                 Message /*message*/) {}
+void EntryRole::OnSessionDown(uint64_t /*session*/, const Hello& /*hello*/) {}
+
+void EntryRole::OnMembers() {
+  if (node_ == nullptr) return;
+  auto view = std::make_unique<GuardView>(
+      GuardView::Make(node_->membership(), node_->is_warm()));
+  is_ready_ = !stopping_ && view->is_warm &&
+              !(view->local.empty() && view->remote.empty());
+  view_.Replace(std::move(view));
+}
+
+std::error_code EntryRole::StartHttp() {
+  using Method = HttpResponse (EntryRole::*)(const HttpRequest&);
+  struct Row {
+    const char* method;
+    const char* prefix;
+    Method handler;
+  };
+  static constexpr std::array kRows = {
+      Row{"POST", "/v1/submissions", &EntryRole::OnMint},
+      Row{"PUT", "/v1/submissions/", &EntryRole::OnPut},
+      Row{"GET", "/v1/submissions/", &EntryRole::OnGet},
+      Row{"DELETE", "/v1/submissions/", &EntryRole::OnDelete},
+      Row{"POST", "/v1/run", &EntryRole::OnRun},
+  };
+  std::vector<HttpServer::Route> routes =
+      ProcessRoutes(&kernel_->metrics, [this] { return is_ready_.load(); });
+  for (const Row& row : kRows) {
+    routes.push_back({row.method, row.prefix,
+                      [this, handler = row.handler](const HttpRequest& r) {
+                        ++in_progress_;
+                        HttpResponse response = (this->*handler)(r);
+                        --in_progress_;
+                        return response;
+                      }});
+  }
+  operators_->AddRoutes(&routes);
+  HttpServerOptions options = ProcessHttpOptions();
+  options.address = kernel_->settings.http;
+  options.threads = kernel_->settings.entry_threads;
+  options.max_body_bytes = kernel_->settings.max_body_bytes;
+  auto http = HttpServer::Make(std::move(options), std::move(routes));
+  if (!http) return http.error();
+  http_ = std::move(*http);
+  return {};
+}
+
+HttpResponse EntryRole::Refuse(Reason reason, const Findings& findings) {
+  kernel_->metrics.Refused(reason);
+  constexpr Millis kRetryAfter{1000};
+  const bool later = DispositionOf(reason) == Disposition::kTryLater;
+  return ProblemResponse(reason, findings, later ? kRetryAfter : Millis(0));
+}
+
+HttpResponse EntryRole::OnMint(const HttpRequest& /*request*/) {
+  if (stopping_) return Refuse(Reason::kStopping);
+  const Result<MintedId> minted = ids_.Take();
+  if (!minted) return Refuse(static_cast<Reason>(minted.error().value()));
+  HttpResponse response;
+  response.status = 201;
+  const std::string id = minted->id.ToString();
+  response.headers.emplace_back("Location", "/v1/submissions/" + id);
+  response.body =
+      nlohmann::json{{"id", id}, {"lifetime_ms", minted->lifetime.count()}}
+          .dump();
+  return response;
+}
+
+HttpResponse EntryRole::OnPut(const HttpRequest& request) {
+  const Result<SubmissionId> id = SubmissionId::Parse(request.suffix);
+  if (!id) return Refuse(Reason::kIdMalformed);
+  const Checked<Millis> wait = WaitOf(request);
+  Checked<JobSpec> job = ParseJob(request.body);
+  if (!wait || !job) {
+    Findings findings = job ? Findings() : job.error();
+    if (!wait) {
+      for (const Finding& f : wait.error().items())
+        findings.Add(f.place, f.text);
+    }
+    return Refuse(Reason::kMalformedRequest, findings);
+  }
+  return Submit(*id, std::move(*job), *wait);
+}
+
+HttpResponse EntryRole::Submit(const SubmissionId& id, JobSpec job,
+                               Millis wait) {
+  SubmitRequest submit;
+  submit.request = calls_.NextRequest();
+  submit.sequence = id.sequence;
+  submit.wait = wait;
+  submit.job = std::move(job);
+  const uint64_t request = submit.request;
+  return Ask(id, request, std::move(submit), wait);
+}
+
+HttpResponse EntryRole::OnGet(const HttpRequest& request) {
+  const Result<SubmissionId> id = SubmissionId::Parse(request.suffix);
+  if (!id) return Refuse(Reason::kIdMalformed);
+  const Checked<Millis> wait = WaitOf(request);
+  if (!wait) return Refuse(Reason::kMalformedRequest, wait.error());
+  const uint64_t number = calls_.NextRequest();
+  return Ask(*id, number, QueryRequest{number, id->sequence, *wait}, *wait);
+}
+
+HttpResponse EntryRole::OnDelete(const HttpRequest& request) {
+  const Result<SubmissionId> id = SubmissionId::Parse(request.suffix);
+  if (!id) return Refuse(Reason::kIdMalformed);
+  const Checked<Millis> wait = WaitOf(request);
+  if (!wait) return Refuse(Reason::kMalformedRequest, wait.error());
+  const uint64_t number = calls_.NextRequest();
+  return Ask(*id, number, CancelRequest{number, id->sequence, *wait}, *wait);
+}
+
+HttpResponse EntryRole::OnRun(const HttpRequest& request) {
+  if (stopping_) return Refuse(Reason::kStopping);
+  Checked<JobSpec> job = ParseJob(request.body);
+  if (!job) return Refuse(Reason::kMalformedRequest, job.error());
+  if (!job->repeatable) return Refuse(Reason::kOneShotNotRepeatable);
+  const Result<MintedId> minted = ids_.Take();
+  if (!minted) return Refuse(static_cast<Reason>(minted.error().value()));
+  const Millis wait = job->deadline + kReplyMargin;
+  return Submit(minted->id, std::move(*job), wait);
+}
+
+HttpResponse EntryRole::Ask(const SubmissionId& id, uint64_t request,
+                            Message message, Millis wait) {
+  const auto [is_known, is_warm] = view_.Read([&](const GuardView& view) {
+    return std::pair(view.Knows(id.home), view.is_warm);
+  });
+  if (!is_known) {
+    return Refuse(is_warm ? Reason::kHomeLost : Reason::kHomeUnreachable);
+  }
+  const CallResult result =
+      calls_.Call(id.home, id.incarnation, request, std::move(message),
+                  wait + kReplyMargin);
+  if (result.fault != Reason::kNone) return Refuse(result.fault);
+  const auto* reply = std::get_if<JobReply>(&result.reply);
+  if (reply == nullptr) return Refuse(Reason::kHomeUnreachable);
+  return AnswerResponse(id.ToString(), reply->answer);
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/guard_view.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "core/membership.h"
+
+namespace qs {
+
+// What an entry's request threads know of the members. Immutable; the core
+// thread publishes a new one when the members change.
+struct GuardView {
+  struct Guard {
+    Address address;
+    Incarnation incarnation;
+  };
+
+  bool is_warm = false;
+  std::vector<Guard> local;   // Live guards in the entry's availability zone.
+  std::vector<Guard> remote;  // All other live guards.
+  std::vector<MemberRecord> members;  // All processes, live or silent.
+  std::vector<bool> is_live;          // Of each member.
+
+  static GuardView Make(const Membership& membership, bool is_warm);
+
+  // A guard to be the home of a new submission: at random in the own zone if
+  // that has several, else anywhere.
+  std::optional<Guard> ChooseHome(std::minstd_rand* random) const;
+  bool Knows(Address address) const;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/id_pool.cc
@@ -0,0 +1,82 @@
+#include "daemon/id_pool.h"
+
+#include <random>
+#include <utility>
+
+#include "daemon/call_table.h"
+
+namespace qs {
+namespace {
+
+constexpr Millis kMintTimeout{2000};
+constexpr int kGuardsToTry = 3;
+
+std::minstd_rand& ThreadRandom() {
+  thread_local std::minstd_rand random{std::random_device{}()};
+  return random;
+}
+
+}  // namespace
+
+IdPool::IdPool(CallTable* calls, const RcuCell<GuardView>* view,
+               uint32_t block_size)
+    : calls_(calls), view_(view), block_size_(block_size) {}
+
+Result<MintedId> IdPool::Take() {
+  Reason reason = Reason::kNoGuardAvailable;
+  for (int i = 0; i < kGuardsToTry; ++i) {
+    const auto [guard, is_warm] = view_->Read([](const GuardView& view) {
+      return std::pair(view.ChooseHome(&ThreadRandom()), view.is_warm);
+    });
+    if (!guard) {
+      reason = is_warm ? Reason::kNoGuardAvailable : Reason::kWarmingUp;
+      break;
+    }
+    Result<MintedId> id = TakeFrom(*guard);
+    if (id) return id;
+  }
+  return tl::unexpected(make_error_code(reason));
+}
+
+Result<MintedId> IdPool::TakeFrom(const GuardView::Guard& guard) {
+  MintedId id;
+  if (TakeReady(guard, Clock::now(), &id)) return id;
+  return Refill(guard);
+}
+
+bool IdPool::TakeReady(const GuardView::Guard& guard, Instant now,
+                       MintedId* out) {
+  const std::lock_guard lock(mutex_);
+  const auto found = blocks_.find(guard.incarnation);
+  if (found == blocks_.end()) return false;
+  Block& block = found->second;
+  if (block.next >= block.end || now >= block.expires) return false;
+  *out = {{guard.address, guard.incarnation, block.next++}, block.lifetime};
+  return true;
+}
+
+Result<MintedId> IdPool::Refill(const GuardView::Guard& guard) {
+  const Instant asked = Clock::now();
+  const uint64_t request = calls_->NextRequest();
+  const CallResult result =
+      calls_->Call(guard.address, guard.incarnation, request,
+                   MintRequest{request, block_size_}, kMintTimeout);
+  const auto* reply = std::get_if<MintReply>(&result.reply);
+  const bool minted =
+      result.fault == Reason::kNone && reply != nullptr && reply->count > 0;
+  if (!minted) {
+    return tl::unexpected(make_error_code(Reason::kNoGuardAvailable));
+  }
+  // Callers get ids that live for at least half of the lifetime.
+  const Millis lifetime = reply->lifetime / 2;
+  const std::lock_guard lock(mutex_);
+  Block& block = blocks_[guard.incarnation];
+  block = {reply->first + 1, reply->first + reply->count, lifetime,
+           asked + lifetime};
+  std::erase_if(blocks_, [&](const auto& entry) {
+    return entry.second.expires <= asked;
+  });
+  return MintedId{{guard.address, guard.incarnation, reply->first}, lifetime};
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/id_pool.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <mutex>
+#include <unordered_map>
+
+#include "base/rcu_cell.h"
+#include "daemon/guard_view.h"
+#include "quetzalspindle/ids.h"
+
+namespace qs {
+
+class CallTable;
+
+// An id and how long it can be handed in.
+struct MintedId {
+  SubmissionId id;
+  Millis lifetime{0};
+};
+
+// Submission ids that guards minted in blocks, so that most requests need no
+// message to get one. Safe from any thread.
+class IdPool {
+ public:
+  // Both must outlive the pool.
+  IdPool(CallTable* calls, const RcuCell<GuardView>* view, uint32_t block_size);
+
+  // An id of a live guard. Fails with kNoGuardAvailable or kWarmingUp.
+  Result<MintedId> Take();
+
+ private:
+  struct Block {
+    uint64_t next = 0;
+    uint64_t end = 0;
+    Millis lifetime{0};
+    Instant expires;  // Well before the guard retires the ids.
+  };
+
+  Result<MintedId> TakeFrom(const GuardView::Guard& guard);
+  bool TakeReady(const GuardView::Guard& guard, Instant now, MintedId* out);
+  Result<MintedId> Refill(const GuardView::Guard& guard);
+
+  CallTable* calls_;
+  const RcuCell<GuardView>* view_;
+  uint32_t block_size_;
+  std::mutex mutex_;
+  std::unordered_map<Incarnation, Block> blocks_;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,130 @@
+// The daemon: one process of the system, in the role that its settings name.
+
+#include <CLI/CLI.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "base/log.h"
+#include "base/version.h"
+#include "kernel/kernel.h"
+#include "settings/settings.h"
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitBadSettings = 2;
+constexpr int kExitCannotStart = 3;
+constexpr int kExitWorkCut = 4;
+constexpr qs::Millis kStopTick{20};
+
+// Runs a role until a signal, then stops it gracefully.
+class Daemon {
+ public:
+  explicit Daemon(qs::Settings settings)
+      : kernel_(std::move(settings)), signals_(kernel_.io, SIGTERM, SIGINT) {}
+
+  int Run() {
+    const qs::Settings& settings = kernel_.settings;
+    role_ = qs::RoleRegistry::Instance().Make(settings.role, &kernel_);
+    const std::error_code error = role_->Start();
+    if (error) {
+      qs::Log(qs::LogLevel::kError, "start_failed",
+              {{"error", error.message()},
+               {"listen", settings.listen.ToString()},
+               {"http", settings.http.ToString()}});
+      return kExitCannotStart;
+    }
+    qs::Log(qs::LogLevel::kInfo, "started",
+            {{"role", settings.role},
+             {"listen", settings.listen.ToString()},
+             {"http", settings.http.ToString()},
+             {"zone", settings.zone}});
+    signals_.async_wait([this](std::error_code e, int) {
+      if (!e) BeginStop();
+    });
+    kernel_.io.run();
+    return exit_code_;
+  }
+
+ private:
+  void BeginStop() {
+    qs::Log(qs::LogLevel::kInfo, "stopping", {});
+    stop_started_ = qs::Clock::now();
+    role_->BeginStop();
+    kernel_.timers.Subscribe(kStopTick,
+                             [this](qs::Instant now) { CheckStop(now); });
+  }
+
+  void CheckStop(qs::Instant now) {
+    const bool is_idle = role_->IsIdle();
+    const bool is_overdue =
+        now - stop_started_ >= kernel_.settings.stop_timeout;
+    if (!is_idle && !is_overdue) return;
+    exit_code_ = is_idle ? kExitOk : kExitWorkCut;
+    kernel_.timers.StopAll();
+    role_->Finish();
+    qs::Log(qs::LogLevel::kInfo, "stopped",
+            {{"cut_off_work", is_idle ? "no" : "yes"}});
+    kernel_.io.stop();
+  }
+
+  qs::Kernel kernel_;
+  asio::signal_set signals_;
+  std::unique_ptr<qs::RolePlugin> role_;
+  qs::Instant stop_started_;
+  int exit_code_ = kExitOk;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "quetzalspindled: one process of the quetzalspindle dispatcher.\n"
+      "SIGTERM and SIGINT stop it gracefully: it takes no new work, answers "
+      "all "
+      "work in progress and exits with 0.\n"
+      "Exit codes: 0 stopped, 2 bad settings or arguments, 3 cannot start, 4 "
+      "stopped with work cut off."};
+  std::string path;
+  std::string role;
+  bool check = false;
+  bool reference = false;
+  app.set_version_flag("--version", qs::kVersion);
+  app.add_option("-c,--config", path, "settings file (INI)");
+  app.add_option("--role", role, "entry or guard; must agree with the settings")
+      ->check(CLI::IsMember({"entry", "guard"}));
+  app.add_flag("--check", check,
+               "check the settings, report every fault, exit");
+  app.add_flag("--print-settings", reference,
+               "print a reference of all settings and exit");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kExitOk : kExitBadSettings;
+  }
+  if (reference) {
+    std::cout << qs::SettingsReference();
+    return kExitOk;
+  }
+  if (path.empty()) {
+    std::cerr << "--config: required\n";
+    return kExitBadSettings;
+  }
+  qs::Checked<qs::Settings> settings = qs::LoadSettings(path);
+  if (!settings) {
+    std::cerr << settings.error().ToText();
+    return kExitBadSettings;
+  }
+  if (!role.empty() && role != settings->role) {
+    std::cerr << "--role: the settings say " << settings->role << "\n";
+    return kExitBadSettings;
+  }
+  if (check) {
+    std::cout << path << ": ok\n";
+    return kExitOk;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  qs::InitLog(settings->log_level, settings->listen.ToString());
+  return Daemon(std::move(*settings)).Run();
+}
--- /dev/null
+++ b/src/daemon/node.cc
@@ -0,0 +1,172 @@
+#include "daemon/node.h"
+
+#include <asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+#include "base/log.h"
+#include "daemon/platform_agent.h"
+#include "kernel/kernel.h"
+#include "platform/etcd_store.h"
+
+namespace qs {
+namespace {
+
+// Rounds of gossip after which the view of a new process counts as whole.
+constexpr int kWarmRounds = 4;
+
+MemberRecord SelfRecord(const Kernel& kernel, Role role) {
+  MemberRecord record;
+  record.address = kernel.settings.listen;
+  record.incarnation = kernel.incarnation;
+  // Above the versions of earlier runs unless the wall clock went back; then
+  // Membership outranks them as soon as it hears of one.
+  record.version = static_cast<uint64_t>(
+      std::chrono::duration_cast<Millis>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  record.role = role;
+  record.zone = kernel.settings.zone;
+  record.worker_kind = kernel.settings.worker_kind;
+  return record;
+}
+
+MembershipOptions OptionsFrom(const Settings& settings) {
+  MembershipOptions options;
+  options.fanout = settings.gossip_fanout;
+  options.suspect_after = settings.suspect_after;
+  return options;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Node>> Node::Make(Kernel* kernel, Role role,
+                                         PeerHandler* handler,
+                                         std::function<void()> on_members) {
+  std::unique_ptr<Node> node(
+      new Node(kernel, role, handler, std::move(on_members)));
+  const Hello self{kernel->incarnation, kernel->settings.listen, role};
+  auto network = PeerNetwork::Make(&kernel->io, self, node.get());
+  if (!network) return tl::unexpected(network.error());
+  node->network_ = std::move(*network);
+  for (const Address seed : kernel->settings.seeds) {
+    node->membership_.AddSeed(seed);
+    node->network_->KeepLink(seed);
+  }
+  kernel->timers.Subscribe(
+      kernel->settings.gossip_interval,
+      [raw = node.get()](Instant now) { raw->GossipRound(now); });
+  node->StartPlatformAgent();
+  return node;
+}
+
+Node::Node(Kernel* kernel, Role role, PeerHandler* handler,
+           std::function<void()> on_members)
+    : kernel_(kernel),
+      handler_(handler),
+      on_members_(std::move(on_members)),
+      membership_(OptionsFrom(kernel->settings), SelfRecord(*kernel, role),
+                  static_cast<uint32_t>(kernel->incarnation.value)),
+      started_(Clock::now()) {}
+
+Node::~Node() { Close(); }
+
+void Node::Close() {
+  platform_agent_.reset();
+  if (network_) network_->Close();
+}
+
+void Node::StartPlatformAgent() {
+  const Settings& settings = kernel_->settings;
+  if (settings.platform_endpoint.empty()) {
+    read_platform_ = true;
+    return;
+  }
+  PlatformAgentOptions options;
+  options.address = settings.listen;
+  options.zone = settings.zone;
+  options.role = membership_.self().role;
+  auto store =
+      EtcdStore::Make(settings.platform_endpoint, settings.platform_timeout);
+  platform_agent_ = PlatformAgent::Make(
+      options, std::move(store), [this](std::vector<Address> members) {
+        asio::post(kernel_->io, [this, members = std::move(members)] {
+          read_platform_ = true;
+          for (const Address member : members) {
+            membership_.AddSeed(member);
+            network_->KeepLink(member);
+          }
+        });
+      });
+}
+
+void Node::GossipRound(Instant now) {
+  const bool changed = membership_.OnTimer(now);
+  for (const SendGossip& send : membership_.OnRound(now)) {
+    network_->Send(send.to, send.gossip);
+  }
+  const bool waited =
+      now - started_ >= kWarmRounds * kernel_->settings.gossip_interval;
+  const bool was_warm = std::exchange(
+      is_warm_, is_warm_ || (waited && (read_platform_ || heard_peer_)));
+  if (changed || was_warm != is_warm_) on_members_();
+}
+
+void Node::OnGossip(const Gossip& gossip, Gossip* reply) {
+  heard_peer_ = true;
+  bool changed = false;
+  *reply = membership_.OnGossip(gossip, Clock::now(), &changed);
+  if (changed) {
+    for (const auto& [address, peer] : membership_.peers()) {
+      if (peer.record.role == Role::kGuard) network_->KeepLink(address);
+    }
+  }
+  on_members_();
+}
+
+void Node::OnLinkUp(Address address, const Hello& hello) {
+  membership_.OnIncarnation(address, hello.incarnation, Clock::now());
+  Log(LogLevel::kInfo, "link_up", {{"peer", address.ToString()}});
+  handler_->OnLinkUp(address, hello);
+}
+
+void Node::OnLinkDown(Address address, Incarnation incarnation) {
+  Log(LogLevel::kWarn, "link_down", {{"peer", address.ToString()}});
+  handler_->OnLinkDown(address, incarnation);
+}
+
+void Node::OnPeerGone(Address address, Incarnation incarnation) {
+  Log(LogLevel::kWarn, "peer_gone", {{"peer", address.ToString()}});
+  handler_->OnPeerGone(address, incarnation);
+}
+
+void Node::OnLinkMessage(Address address, Incarnation incarnation,
+                         Message message) {
+  if (const Gossip* gossip = std::get_if<Gossip>(&message)) {
+    Gossip no_reply;
+    OnGossip(*gossip, &no_reply);
+    return;
+  }
+  handler_->OnLinkMessage(address, incarnation, std::move(message));
+}
+
+void Node::OnSessionUp(uint64_t session, const Hello& hello) {
+  handler_->OnSessionUp(session, hello);
+}
+
+void Node::OnSessionMessage(uint64_t session, const Hello& hello,
+                            Message message) {
+  if (const Gossip* gossip = std::get_if<Gossip>(&message)) {
+    Gossip reply;
+    OnGossip(*gossip, &reply);
+    if (!reply.members.empty()) network_->SendToSession(session, reply);
+    return;
+  }
+  handler_->OnSessionMessage(session, hello, std::move(message));
+}
+
+void Node::OnSessionDown(uint64_t session, const Hello& hello) {
+  handler_->OnSessionDown(session, hello);
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/node.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/membership.h"
+#include "net/peer_network.h"
+
+namespace qs {
+
+struct Kernel;
+class PlatformAgent;
+
+// The part of a process that all roles share: its connections, its membership
+// and its registration with the platform. Gossip ends here; all other messages
+// go to the handler. Lives on the core thread.
+class Node final : private PeerHandler {
+ public:
+  // `handler` gets everything but gossip. `on_members` is called after members
+  // or their load changed. Both must outlive the node.
+  static Result<std::unique_ptr<Node>> Make(Kernel* kernel, Role role,
+                                            PeerHandler* handler,
+                                            std::function<void()> on_members);
+  ~Node() override;
+
+  PeerNetwork& network() { return *network_; }
+  Membership& membership() { return membership_; }
+  // Whether the members were learned, from the platform or from a peer.
+  bool is_warm() const { return is_warm_; }
+  void Close();
+
+ private:
+  Node(Kernel* kernel, Role role, PeerHandler* handler,
+       std::function<void()> on_members);
+
+  void OnLinkUp(Address address, const Hello& hello) override;
+  void OnLinkDown(Address address, Incarnation incarnation) override;
+  void OnPeerGone(Address address, Incarnation incarnation) override;
+  void OnLinkMessage(Address address, Incarnation incarnation,
+                     Message message) override;
+  void OnSessionUp(uint64_t session, const Hello& hello) override;
+  void OnSessionMessage(uint64_t session, const Hello& hello,
+                        Message message) override;
+  void OnSessionDown(uint64_t session, const Hello& hello) override;
+
+  void GossipRound(Instant now);
+  void OnGossip(const Gossip& gossip, Gossip* reply);
+  void StartPlatformAgent();
+
+  Kernel* kernel_;
+  PeerHandler* handler_;
+  std::function<void()> on_members_;
+  Membership membership_;
+  std::unique_ptr<PeerNetwork> network_;
+  std::unique_ptr<PlatformAgent> platform_agent_;
+  Instant started_;
+  bool heard_peer_ = false;
+  bool read_platform_ = false;
+  bool is_warm_ = false;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/platform_agent.cc
@@ -0,0 +1,84 @@
+#include "daemon/platform_agent.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+
+namespace qs {
+namespace {
+
+// One key per address, so that a restarted process replaces its own entry.
+constexpr const char* kMemberPrefix = "/quetzalspindle/members/";
+
+}  // namespace
+
+std::unique_ptr<PlatformAgent> PlatformAgent::Make(
+    const PlatformAgentOptions& options, std::unique_ptr<PlatformStore> store,
+    std::function<void(std::vector<Address>)> on_members) {
+  std::unique_ptr<PlatformAgent> agent(
+      new PlatformAgent(options, std::move(store), std::move(on_members)));
+  agent->thread_ = std::thread([raw = agent.get()] { raw->Run(); });
+  return agent;
+}
+
+PlatformAgent::PlatformAgent(
+    const PlatformAgentOptions& options, std::unique_ptr<PlatformStore> store,
+    std::function<void(std::vector<Address>)> on_members)
+    : options_(options),
+      store_(std::move(store)),
+      on_members_(std::move(on_members)) {}
+
+PlatformAgent::~PlatformAgent() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+  }
+  stopped_changed_.notify_all();
+  thread_.join();
+}
+
+void PlatformAgent::Run() {
+  Millis pause = options_.first_retry;
+  bool is_registered = false;
+  bool has_read = false;
+  while (true) {
+    is_registered = is_registered || Register();
+    has_read = has_read || ReadMembers();
+    if (is_registered && has_read) break;
+    if (!Wait(pause)) return;
+    pause = std::min(pause * 2, options_.longest_retry);
+  }
+  Log(LogLevel::kInfo, "registered", {});
+  if (options_.role != Role::kEntry) return;
+  while (Wait(options_.refresh)) ReadMembers();
+}
+
+bool PlatformAgent::Register() {
+  const nlohmann::json value = {
+      {"role", options_.role == Role::kEntry ? "entry" : "guard"},
+      {"zone", options_.zone}};
+  return !store_->Put(kMemberPrefix + options_.address.ToString(),
+                      value.dump());
+}
+
+bool PlatformAgent::ReadMembers() {
+  const Result<StoreRange> range = store_->ReadPrefix(kMemberPrefix);
+  if (!range) return false;
+  std::vector<Address> members;
+  const size_t prefix_size = std::string(kMemberPrefix).size();
+  for (const StoreEntry& entry : range->entries) {
+    const auto address = Address::Parse(entry.key.substr(prefix_size));
+    if (address && *address != options_.address) members.push_back(*address);
+  }
+  on_members_(std::move(members));
+  return true;
+}
+
+bool PlatformAgent::Wait(Millis duration) {
+  std::unique_lock lock(mutex_);
+  return !stopped_changed_.wait_for(lock, duration, [&] { return stopped_; });
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/platform_agent.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "quetzalspindle/address.h"
+#include "quetzalspindle/platform_store.h"
+#include "wire/messages.h"
+
+namespace qs {
+
+struct PlatformAgentOptions {
+  Address address;
+  std::string zone;
+  Role role = Role::kGuard;
+  Millis first_retry{200};
+  Millis longest_retry{10'000};
+  Millis refresh{300'000};  // An entry reads the members again so often.
+};
+
+// Registers this process with the platform's key-value service, once, and reads
+// who else is registered. Works on a thread of its own, so that an outage of
+// the service delays nothing else.
+class PlatformAgent {
+ public:
+  // `on_members` is called on the agent's thread.
+  static std::unique_ptr<PlatformAgent> Make(
+      const PlatformAgentOptions& options, std::unique_ptr<PlatformStore> store,
+      std::function<void(std::vector<Address>)> on_members);
+  ~PlatformAgent();
+  PlatformAgent(const PlatformAgent&) = delete;
+  PlatformAgent& operator=(const PlatformAgent&) = delete;
+
+ private:
+  PlatformAgent(const PlatformAgentOptions& options,
+                std::unique_ptr<PlatformStore> store,
+                std::function<void(std::vector<Address>)> on_members);
+
+  void Run();
+  bool Register();
+  bool ReadMembers();
+  // Returns false when the agent shall end.
+  bool Wait(Millis duration);
+
+  PlatformAgentOptions options_;
+  std::unique_ptr<PlatformStore> store_;
+  std::function<void(std::vector<Address>)> on_members_;
+  std::mutex mutex_;
+  std::condition_variable stopped_changed_;
+  bool stopped_ = false;
+  std::thread thread_;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "quetzalspindle/address.h"
+#include "quetzalspindle/result.h"
+#include "quetzalspindle/time.h"
+
+struct mg_connection;
+struct mg_context;
+
+namespace qs {
+
+struct HttpRequest {
+  std::string method;
+  std::string path;    // Without the query.
+  std::string suffix;  // Of the path, behind the route's prefix.
+  std::map<std::string, std::string> query;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+
+struct HttpServerOptions {
+  Address address;
+  uint32_t threads = 8;  // Requests served at a time.
+  size_t max_body_bytes = 1U << 20U;
+  Millis request_timeout{15'000};  // For a slow or half-closed client.
+  // Answers a request whose body is too large; the argument is the limit.
+  std::function<HttpResponse(size_t)> too_large;
+  std::function<HttpResponse()> no_such_route;
+};
+
+// An HTTP/1.1 server on CivetWeb. Handlers run on its threads, several at a
+// time.
+class HttpServer {
+ public:
+  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+  struct Route {
+    std::string method;
+    std::string prefix;  // "/a/" takes every path below, "/a" only itself.
+    Handler handler;
+  };
+
+  static Result<std::unique_ptr<HttpServer>> Make(HttpServerOptions options,
+                                                  std::vector<Route> routes);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Stops listening and waits for the handlers to return.
+  void Stop();
+
+ private:
+  HttpServer(HttpServerOptions options, std::vector<Route> routes);
+
+  static int OnRequest(mg_connection* connection, void* self);
+  HttpResponse Serve(mg_connection* connection, bool* close) const;
+  const Route* FindRoute(HttpRequest* request) const;
+  bool ReadBody(mg_connection* connection, std::string* body) const;
+  static void Write(mg_connection* connection, const HttpResponse& response,
+                    bool close);
+
+  HttpServerOptions options_;
+  std::vector<Route> routes_;
+  mg_context* context_ = nullptr;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/kernel/kernel.cc
@@ -0,0 +1,42 @@
+#include "kernel/kernel.h"
+
+#include <random>
+#include <utility>
+
+namespace qs {
+namespace {
+
+Incarnation RandomIncarnation() {
+  std::random_device device;
+  uint64_t value = 0;
+  // Zero stands for "none".
+  while (value == 0) {
+    value = (static_cast<uint64_t>(device()) << 32U) | device();
+  }
+  return {value};
+}
+
+}  // namespace
+
+Kernel::Kernel(Settings settings)
+    : settings(std::move(settings)), incarnation(RandomIncarnation()) {}
+
+RoleRegistry& RoleRegistry::Instance() {
+  static RoleRegistry registry;
+  return registry;
+}
+
+bool RoleRegistry::Register(std::string name, RoleFactory factory) {
+  rows_.push_back({std::move(name), factory});
+  return true;
+}
+
+std::unique_ptr<RolePlugin> RoleRegistry::Make(const std::string& name,
+                                               Kernel* kernel) const {
+  for (const Row& row : rows_) {
+    if (row.name == name) return row.factory(kernel);
+  }
+  return nullptr;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/metrics/metrics.cc
@@ -0,0 +1,143 @@
+#include "metrics/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace qs {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kSecondsBuckets = {
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+    0.25,   0.5,   1.0,    2.5,   5.0,  10.0,  30.0};
+
+double Seconds(Clock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+Metrics::Metrics() : registry_(std::make_shared<prometheus::Registry>()) {
+  refusals_ = MakeReasonTable("quetzalspindle_refusals_total",
+                              "Requests refused as a whole, by reason.");
+  retries_ = MakeReasonTable("quetzalspindle_retries_total",
+                             "Tasks given back unstarted and granted again.");
+  failures_ = MakeReasonTable("quetzalspindle_task_failures_total",
+                              "Tasks that did not succeed, by reason.");
+  auto& outcomes = prometheus::BuildCounter()
+                       .Name("quetzalspindle_tasks_total")
+                       .Help("Tasks ended, by outcome.")
+                       .Register(*registry_);
+  auto& states = prometheus::BuildCounter()
+                     .Name("quetzalspindle_jobs_total")
+                     .Help("Jobs answered, by state.")
+                     .Register(*registry_);
+  for (uint8_t i = 0; i < 4; ++i) {
+    const std::string outcome(OutcomeName(static_cast<Outcome>(i)));
+    outcomes_[i] = &outcomes.Add({{"outcome", outcome}});
+    const std::string state(JobStateName(static_cast<JobState>(i)));
+    job_states_[i] = &states.Add({{"state", state}});
+  }
+  queue_seconds_ = MakeHistogram("quetzalspindle_task_queue_seconds",
+                                 "Wait of a task at its executor.");
+  run_seconds_ = MakeHistogram("quetzalspindle_task_run_seconds",
+                               "Run time of a task on the backend server.");
+  job_seconds_ = MakeHistogram("quetzalspindle_job_seconds",
+                               "Acceptance of a job to its answer.");
+  breaker_opened_ = &counter("quetzalspindle_breaker_opened_total",
+                             "Times the circuit breaker opened.");
+  breaker_closed_ = &counter("quetzalspindle_breaker_closed_total",
+                             "Times the circuit breaker closed.");
+}
+
+Metrics::ReasonTable Metrics::MakeReasonTable(const std::string& name,
+                                              const std::string& help) {
+  auto& family =
+      prometheus::BuildCounter().Name(name).Help(help).Register(*registry_);
+  ReasonTable table{};
+  for (size_t value = 0; value < kReasonValues; ++value) {
+    const Reason reason = ReasonFromWire(static_cast<uint8_t>(value));
+    table[value] = &family.Add({{"reason", std::string(ReasonName(reason))}});
+  }
+  return table;
+}
+
+prometheus::Histogram* Metrics::MakeHistogram(const std::string& name,
+                                              const std::string& help) {
+  auto& family =
+      prometheus::BuildHistogram().Name(name).Help(help).Register(*registry_);
+  return &family.Add({}, kSecondsBuckets);
+}
+
+prometheus::Gauge& Metrics::gauge(const std::string& name,
+                                  const std::string& help) {
+  return prometheus::BuildGauge()
+      .Name(name)
+      .Help(help)
+      .Register(*registry_)
+      .Add({});
+}
+
+prometheus::Counter& Metrics::counter(const std::string& name,
+                                      const std::string& help) {
+  return prometheus::BuildCounter()
+      .Name(name)
+      .Help(help)
+      .Register(*registry_)
+      .Add({});
+}
+
+std::string Metrics::Serialize() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+std::vector<Metrics::ReasonCount> Metrics::ReasonCounts() const {
+  std::vector<ReasonCount> counts;
+  const auto collect = [&](const std::string& kind, const ReasonTable& table) {
+    for (size_t value = 1; value < kReasonValues; ++value) {
+      const Reason reason = ReasonFromWire(static_cast<uint8_t>(value));
+      const double count = table[value]->Value();
+      if (count == 0 || static_cast<size_t>(reason) != value) continue;
+      counts.push_back({kind, std::string(ReasonName(reason)),
+                        static_cast<uint64_t>(count)});
+    }
+  };
+  collect("refusal", refusals_);
+  collect("retry", retries_);
+  collect("task", failures_);
+  return counts;
+}
+
+void Metrics::OnRefused(Reason reason) {
+  refusals_[static_cast<size_t>(reason)]->Increment();
+}
+
+void Metrics::OnRetried(Reason reason) {
+  retries_[static_cast<size_t>(reason)]->Increment();
+}
+
+void Metrics::OnTaskEnded(Outcome outcome, Reason reason) {
+  outcomes_[static_cast<size_t>(outcome)]->Increment();
+  if (outcome != Outcome::kDone) {
+    failures_[static_cast<size_t>(reason)]->Increment();
+  }
+}
+
+void Metrics::OnJobEnded(JobState state, Millis age) {
+  job_states_[static_cast<size_t>(state)]->Increment();
+  job_seconds_->Observe(Seconds(age));
+}
+
+void Metrics::OnTaskStarted(Clock::duration queued) {
+  queue_seconds_->Observe(Seconds(queued));
+}
+
+void Metrics::OnTaskRan(Clock::duration run_time) {
+  run_seconds_->Observe(Seconds(run_time));
+}
+
+void Metrics::OnBreakerChanged(bool open) {
+  (open ? breaker_opened_ : breaker_closed_)->Increment();
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/metrics/metrics.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <memory>
+#include <string>
+
+#include "core/observer.h"
+
+namespace qs {
+
+// The process's metrics. Counting is safe from any thread and takes no lock.
+class Metrics final : public Observer {
+ public:
+  Metrics();
+
+  // The text exposition format of Prometheus.
+  std::string Serialize() const;
+  // Name and value of each refusal and retry counter above zero.
+  struct ReasonCount {
+    std::string kind;
+    std::string reason;
+    uint64_t count = 0;
+  };
+  std::vector<ReasonCount> ReasonCounts() const;
+
+  prometheus::Gauge& gauge(const std::string& name, const std::string& help);
+  prometheus::Counter& counter(const std::string& name,
+                               const std::string& help);
+
+ private:
+  static constexpr size_t kReasonValues = 256;
+  using ReasonTable = std::array<prometheus::Counter*, kReasonValues>;
+
+  void OnRefused(Reason reason) override;
+  void OnRetried(Reason reason) override;
+  void OnTaskEnded(Outcome outcome, Reason reason) override;
+  void OnJobEnded(JobState state, Millis age) override;
+  void OnTaskStarted(Clock::duration queued) override;
+  void OnTaskRan(Clock::duration run_time) override;
+  void OnBreakerChanged(bool open) override;
+
+  ReasonTable MakeReasonTable(const std::string& name, const std::string& help);
+  prometheus::Histogram* MakeHistogram(const std::string& name,
+                                       const std::string& help);
+
+  std::shared_ptr<prometheus::Registry> registry_;
+  ReasonTable refusals_{};
+  ReasonTable retries_{};
+  ReasonTable failures_{};
+  std::array<prometheus::Counter*, 4> outcomes_{};
+  std::array<prometheus::Counter*, 4> job_states_{};
+  prometheus::Histogram* queue_seconds_ = nullptr;
+  prometheus::Histogram* run_seconds_ = nullptr;
+  prometheus::Histogram* job_seconds_ = nullptr;
+  prometheus::Counter* breaker_opened_ = nullptr;
+  prometheus::Counter* breaker_closed_ = nullptr;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/net/peer_network.cc
@@ -0,0 +1,299 @@
+#include "net/peer_network.h"
+
+#include <algorithm>
+#include <asio/error.hpp>
+#include <utility>
+
+#include "net/connection.h"
+#include "wire/codec.h"
+
+namespace qs {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr Millis kFirstRetry{50};
+constexpr Millis kLongestRetry{1000};
+constexpr Millis kConnectTimeout{2000};
+constexpr Millis kHelloTimeout{5000};
+
+tcp::endpoint ToEndpoint(Address address) {
+  return {asio::ip::address_v4(address.ip), address.port};
+}
+
+}  // namespace
+
+struct PeerNetwork::Link {
+  explicit Link(asio::io_context* io) : timer(*io) {}
+
+  Address address;
+  asio::steady_timer timer;
+  std::shared_ptr<Connection> connection;
+  std::shared_ptr<tcp::socket> connecting;
+  bool is_up = false;
+  bool dropped = false;
+  Incarnation incarnation;  // Of the last Hello.
+  Millis retry{0};
+};
+
+struct PeerNetwork::Session {
+  explicit Session(asio::io_context* io) : timer(*io) {}
+
+  uint64_t number = 0;
+  asio::steady_timer timer;
+  std::shared_ptr<Connection> connection;
+  bool greeted = false;
+  Hello hello;
+};
+
+Result<std::unique_ptr<PeerNetwork>> PeerNetwork::Make(asio::io_context* io,
+                                                       const Hello& self,
+                                                       PeerHandler* handler) {
+  std::unique_ptr<PeerNetwork> network(new PeerNetwork(io, self, handler));
+  const std::error_code error = network->Listen();
+  if (error) return tl::unexpected(error);
+  return network;
+}
+
+PeerNetwork::PeerNetwork(asio::io_context* io, const Hello& self,
+                         PeerHandler* handler)
+    : io_(io),
+      self_(self),
+      handler_(handler),
+      acceptor_(*io),
+      random_(static_cast<uint32_t>(self.incarnation.value)) {}
+
+PeerNetwork::~PeerNetwork() { Close(); }
+
+std::error_code PeerNetwork::Listen() {
+  std::error_code error;
+  const tcp::endpoint endpoint = ToEndpoint(self_.address);
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) Accept();
+  return error;
+}
+
+void PeerNetwork::Accept() {
+  acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted || closed_) return;
+    if (!error) StartSession(std::move(socket));
+    Accept();
+  });
+}
+
+void PeerNetwork::StartSession(tcp::socket socket) {
+  auto session = std::make_shared<Session>(io_);
+  session->number = next_session_++;
+  session->connection = Connection::Make(std::move(socket));
+  sessions_[session->number] = session;
+  session->timer.expires_after(kHelloTimeout);
+  session->timer.async_wait([this, session](std::error_code error) {
+    if (error || session->greeted) return;
+    session->connection->Close();
+    sessions_.erase(session->number);
+  });
+  session->connection->Start(
+      [this, session](Message message) {
+        OnSessionFrame(session, std::move(message));
+      },
+      [this, session](std::error_code) { OnSessionClosed(session); });
+}
+
+void PeerNetwork::OnSessionFrame(const std::shared_ptr<Session>& session,
+                                 Message message) {
+  if (session->greeted) {
+    handler_->OnSessionMessage(session->number, session->hello,
+                               std::move(message));
+    return;
+  }
+  const Hello* hello = std::get_if<Hello>(&message);
+  if (hello == nullptr) {
+    session->connection->Close();
+    OnSessionClosed(session);
+    return;
+  }
+  session->greeted = true;
+  session->hello = *hello;
+  session->timer.cancel();
+  SendToSession(session->number, self_);
+  const auto link = links_.find(hello->address);
+  if (link != links_.end()) {
+    const Incarnation old = link->second->incarnation;
+    // The peer runs again before our own link noticed that it had ended.
+    if (old.value != 0 && old != hello->incarnation) {
+      link->second->incarnation = hello->incarnation;
+      handler_->OnPeerGone(hello->address, old);
+    }
+  }
+  handler_->OnSessionUp(session->number, session->hello);
+}
+
+void PeerNetwork::OnSessionClosed(const std::shared_ptr<Session>& session) {
+  session->timer.cancel();
+  if (sessions_.erase(session->number) == 0 || closed_) return;
+  if (session->greeted) {
+    handler_->OnSessionDown(session->number, session->hello);
+  }
+}
+
+void PeerNetwork::KeepLink(Address address) {
+  if (closed_ || address == self_.address || links_.contains(address)) return;
+  auto link = std::make_shared<Link>(io_);
+  link->address = address;
+  links_[address] = link;
+  Connect(link);
+}
+
+void PeerNetwork::DropLink(Address address) {
+  const auto found = links_.find(address);
+  if (found == links_.end()) return;
+  const std::shared_ptr<Link> link = found->second;
+  link->dropped = true;
+  link->timer.cancel();
+  if (link->connection) link->connection->Close();
+  links_.erase(found);
+}
+
+void PeerNetwork::Connect(const std::shared_ptr<Link>& link) {
+  auto socket = std::make_shared<tcp::socket>(*io_);
+  link->connecting = socket;
+  link->timer.expires_after(kConnectTimeout);
+  link->timer.async_wait([socket](std::error_code error) {
+    std::error_code ignored;
+    if (!error) socket->close(ignored);
+  });
+  socket->async_connect(
+      ToEndpoint(link->address), [this, link, socket](std::error_code error) {
+        if (link->dropped || closed_) return;
+        link->timer.cancel();
+        link->connecting.reset();
+        if (error) {
+          Retry(link, error == asio::error::connection_refused);
+          return;
+        }
+        OnConnected(link, std::move(*socket));
+      });
+}
+
+void PeerNetwork::OnConnected(const std::shared_ptr<Link>& link,
+                              tcp::socket socket) {
+  link->connection = Connection::Make(std::move(socket));
+  const std::shared_ptr<Connection> connection = link->connection;
+  connection->Start(
+      [this, link](Message message) {
+        if (link->is_up) {
+          handler_->OnLinkMessage(link->address, link->incarnation,
+                                  std::move(message));
+          return;
+        }
+        const Hello* hello = std::get_if<Hello>(&message);
+        if (hello != nullptr) OnHello(link, *hello);
+      },
+      [this, link](std::error_code) { OnLinkClosed(link); });
+  std::string frame = EncodeFrame(self_);
+  Count(frame);
+  connection->Send(std::move(frame));
+}
+
+void PeerNetwork::OnHello(const std::shared_ptr<Link>& link,
+                          const Hello& hello) {
+  const Incarnation old = link->incarnation;
+  link->incarnation = hello.incarnation;
+  link->is_up = true;
+  link->retry = Millis(0);
+  if (old.value != 0 && old != hello.incarnation) {
+    handler_->OnPeerGone(link->address, old);
+  }
+  handler_->OnLinkUp(link->address, hello);
+}
+
+void PeerNetwork::OnLinkClosed(const std::shared_ptr<Link>& link) {
+  if (link->dropped || closed_) return;
+  link->connection.reset();
+  const bool was_up = std::exchange(link->is_up, false);
+  if (was_up) handler_->OnLinkDown(link->address, link->incarnation);
+  Retry(link, false);
+}
+
+void PeerNetwork::Retry(const std::shared_ptr<Link>& link, bool refused) {
+  if (refused && link->incarnation.value != 0) {
+    // A live process keeps its listening socket, so the peer has ended.
+    const Incarnation gone = std::exchange(link->incarnation, {});
+    handler_->OnPeerGone(link->address, gone);
+    if (link->dropped) return;
+  }
+  link->retry = std::clamp(link->retry * 2, kFirstRetry, kLongestRetry);
+  std::uniform_int_distribution<int64_t> jitter(link->retry.count() / 2,
+                                                link->retry.count());
+  link->timer.expires_after(Millis(jitter(random_)));
+  link->timer.async_wait([this, link](std::error_code error) {
+    if (error || link->dropped || closed_) return;
+    Connect(link);
+  });
+}
+
+bool PeerNetwork::IsUp(Address address, Incarnation* incarnation) const {
+  const auto found = links_.find(address);
+  if (found == links_.end() || !found->second->is_up) return false;
+  *incarnation = found->second->incarnation;
+  return true;
+}
+
+bool PeerNetwork::Send(Address address, const Message& message) {
+  KeepLink(address);
+  const auto found = links_.find(address);
+  if (found == links_.end() || !found->second->is_up) return false;
+  std::string frame = EncodeFrame(message);
+  Count(frame);
+  found->second->connection->Send(std::move(frame));
+  return true;
+}
+
+void PeerNetwork::SendToSession(uint64_t session, const Message& message) {
+  const auto found = sessions_.find(session);
+  if (found == sessions_.end()) return;
+  std::string frame = EncodeFrame(message);
+  Count(frame);
+  found->second->connection->Send(std::move(frame));
+}
+
+void PeerNetwork::Count(const std::string& frame) {
+  ++sent_messages_;
+  sent_bytes_ += frame.size();
+}
+
+bool PeerNetwork::IsFlushed() const {
+  const auto is_empty = [](const auto& entry) {
+    const auto& connection = entry.second->connection;
+    return connection == nullptr || connection->unsent_bytes() == 0;
+  };
+  return std::all_of(links_.begin(), links_.end(), is_empty) &&
+         std::all_of(sessions_.begin(), sessions_.end(), is_empty);
+}
+
+void PeerNetwork::Close() {
+  if (closed_) return;
+  closed_ = true;
+  std::error_code ignored;
+  acceptor_.close(ignored);
+  for (auto& [address, link] : links_) {
+    link->dropped = true;
+    link->timer.cancel();
+    if (link->connecting) link->connecting->close(ignored);
+    if (link->connection) link->connection->Close();
+  }
+  for (auto& [number, session] : sessions_) {
+    session->timer.cancel();
+    session->connection->Close();
+  }
+  links_.clear();
+  sessions_.clear();
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/net/peer_network.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "quetzalspindle/result.h"
+#include "wire/messages.h"
+
+namespace qs {
+
+class Connection;
+
+// Told by a PeerNetwork what happens. A link is a connection that this process
+// opened; a session is one that it accepted. Requests travel on links and their
+// replies on the same connection.
+class PeerHandler {
+ public:
+  virtual ~PeerHandler() = default;
+  virtual void OnLinkUp(Address address, const Hello& hello) = 0;
+  virtual void OnLinkDown(Address address, Incarnation incarnation) = 0;
+  // Nobody listens at the address, or another incarnation does: this one is
+  // gone.
+  virtual void OnPeerGone(Address address, Incarnation incarnation) = 0;
+  virtual void OnLinkMessage(Address address, Incarnation incarnation,
+                             Message message) = 0;
+  virtual void OnSessionUp(uint64_t session, const Hello& hello) = 0;
+  virtual void OnSessionMessage(uint64_t session, const Hello& hello,
+                                Message message) = 0;
+  virtual void OnSessionDown(uint64_t session, const Hello& hello) = 0;
+};
+
+// The connections between this process and its peers. Links reconnect by
+// themselves. Lives on the thread of its io_context.
+class PeerNetwork {
+ public:
+  // Listens on `self.address`. Port 0 is not allowed. `handler` must outlive
+  // the network.
+  static Result<std::unique_ptr<PeerNetwork>> Make(asio::io_context* io,
+                                                   const Hello& self,
+                                                   PeerHandler* handler);
+  ~PeerNetwork();
+  PeerNetwork(const PeerNetwork&) = delete;
+  PeerNetwork& operator=(const PeerNetwork&) = delete;
+
+  // Keeps a link to the address from now on.
+  void KeepLink(Address address);
+  void DropLink(Address address);
+  // Whether a link stands; its incarnation in `*incarnation` if so.
+  bool IsUp(Address address, Incarnation* incarnation) const;
+  // Sends on the link; opens it if need be. Returns false, and sends nothing,
+  // while the link does not stand.
+  bool Send(Address address, const Message& message);
+  void SendToSession(uint64_t session, const Message& message);
+  size_t link_count() const { return links_.size(); }
+  size_t session_count() const { return sessions_.size(); }
+  // Whether every queued byte has left.
+  bool IsFlushed() const;
+  void Close();
+
+  uint64_t sent_messages() const { return sent_messages_; }
+  uint64_t sent_bytes() const { return sent_bytes_; }
+
+ private:
+  struct Link;
+  struct Session;
+
+  PeerNetwork(asio::io_context* io, const Hello& self, PeerHandler* handler);
+
+  std::error_code Listen();
+  void Accept();
+  void Connect(const std::shared_ptr<Link>& link);
+  void OnConnected(const std::shared_ptr<Link>& link,
+                   asio::ip::tcp::socket socket);
+  void OnHello(const std::shared_ptr<Link>& link, const Hello& hello);
+  void OnLinkClosed(const std::shared_ptr<Link>& link);
+  void Retry(const std::shared_ptr<Link>& link, bool refused);
+  void StartSession(asio::ip::tcp::socket socket);
+  void OnSessionFrame(const std::shared_ptr<Session>& session, Message message);
+  void OnSessionClosed(const std::shared_ptr<Session>& session);
+  void Count(const std::string& frame);
+
+  asio::io_context* io_;
+  Hello self_;
+  PeerHandler* handler_;
+  asio::ip::tcp::acceptor acceptor_;
+  bool closed_ = false;
+  uint64_t next_session_ = 1;
+  uint64_t sent_messages_ = 0;
+  uint64_t sent_bytes_ = 0;
+  std::minstd_rand random_;
+  std::unordered_map<Address, std::shared_ptr<Link>> links_;
+  std::unordered_map<uint64_t, std::shared_ptr<Session>> sessions_;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,326 @@
+#include "settings/settings.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <variant>
+
+#include "core/placement_policy.h"
+
+namespace qs {
+namespace {
+
+using Member = std::variant<std::string Settings::*, uint32_t Settings::*,
+                            Millis Settings::*, Address Settings::*,
+                            std::vector<Address> Settings::*>;
+
+struct Row {
+  const char* section;
+  const char* key;
+  Member member;
+  const char* default_value;  // Null for a required key.
+  uint32_t min;               // Of numbers and durations.
+  uint32_t max;
+  const char* meaning;
+};
+
+constexpr uint32_t kDayMs = 86'400'000;
+
+const std::array kRows = {
+    Row{"process", "role", &Settings::role, nullptr, 0, 0, "entry or guard"},
+    Row{"process", "listen", &Settings::listen, nullptr, 0, 0,
+        "IP:port for the other processes of the system"},
+    Row{"process", "http", &Settings::http, nullptr, 0, 0,
+        "IP:port for HTTP: callers, operators, announcements, metrics"},
+    Row{"process", "zone", &Settings::zone, nullptr, 0, 0,
+        "availability zone of this process"},
+    Row{"process", "log_level", &Settings::log_level, "info", 0, 0,
+        "debug, info, warn or error"},
+    Row{"process", "stop_timeout_ms", &Settings::stop_timeout, "900000", 0,
+        kDayMs, "longest graceful stop; work still in progress is then cut"},
+    Row{"members", "seeds", &Settings::seeds, "", 0, 0,
+        "IP:port list, separated by spaces, of processes to contact first"},
+    Row{"members", "gossip_interval_ms", &Settings::gossip_interval, "500", 20,
+        60'000, "time between two rounds of telling other members"},
+    Row{"members", "gossip_fanout", &Settings::gossip_fanout, "3", 1, 32,
+        "members told in each round"},
+    Row{"members", "suspect_after_ms", &Settings::suspect_after, "5000", 100,
+        600'000, "a member silent for so long gets no new work"},
+    Row{"platform", "endpoint", &Settings::platform_endpoint, "", 0, 0,
+        "http://IP:port of the key-value service's JSON gateway; empty for "
+        "none"},
+    Row{"platform", "timeout_ms", &Settings::platform_timeout, "2000", 10,
+        60'000, "longest wait for one call to the key-value service"},
+    Row{"entry", "threads", &Settings::entry_threads, "64", 2, 2000,
+        "HTTP requests served at a time"},
+    Row{"entry", "id_block", &Settings::id_block, "256", 1, 10'000,
+        "submission ids fetched from a guard at a time"},
+    Row{"entry", "max_body_bytes", &Settings::max_body_bytes, "16777216", 1024,
+        67'108'864, "largest request body"},
+    Row{"entry", "home_lost_after_ms", &Settings::home_lost_after, "5000", 100,
+        600'000, "a home cut off for so long is answered as unreachable"},
+    Row{"guard", "worker_kind", &Settings::worker_kind, "", 0, 0,
+        "kind of worker, for jobs that ask for one"},
+    Row{"guard", "placement", &Settings::placement, "least_loaded", 0, 0,
+        "policy that chooses a backend server"},
+    Row{"guard", "queue_per_slot", &Settings::queue_per_slot, "1", 0, 64,
+        "grants that may wait at a backend server, per slot"},
+    Row{"guard", "max_waiting_tasks", &Settings::max_waiting_tasks, "20000", 1,
+        10'000'000, "tasks that may wait at this home"},
+    Row{"guard", "max_jobs", &Settings::max_jobs, "20000", 1, 1'000'000,
+        "jobs that may be in progress at this home"},
+    Row{"guard", "answer_retention_ms", &Settings::answer_retention, "60000",
+        1000, kDayMs, "how long a finished answer can be fetched"},
+    Row{"guard", "id_lifetime_ms", &Settings::id_lifetime, "600000", 1000,
+        kDayMs, "how long a minted id can be handed in"},
+    Row{"guard", "max_deadline_ms", &Settings::max_deadline, "600000", 1,
+        kDayMs, "longest deadline of a job"},
+    Row{"guard", "executor_lost_after_ms", &Settings::executor_lost_after,
+        "5000", 100, 600'000,
+        "tasks at a guard cut off for so long become unknown"},
+    Row{"guard", "announcement_ttl_ms", &Settings::announcement_ttl, "3000",
+        100, 600'000, "a backend server silent for so long gets no work"},
+    Row{"guard", "breaker_failures", &Settings::breaker_failures, "5", 1, 1000,
+        "failures in a row that open the circuit breaker"},
+    Row{"guard", "breaker_pause_ms", &Settings::breaker_pause, "500", 1,
+        600'000, "pause before the first probe; doubles up to 30 s"},
+    Row{"guard", "backend_idle_limit_ms", &Settings::backend_idle_limit, "2000",
+        0, 600'000,
+        "a connection to the backend server idle for longer is not reused"},
+};
+
+const Row* FindRow(const std::string& section, const std::string& key) {
+  for (const Row& row : kRows) {
+    if (section == row.section && key == row.key) return &row;
+  }
+  return nullptr;
+}
+
+// Sets one member from text. Returns what is wrong, empty when nothing is.
+struct Assigner {
+  Settings* settings;
+  const Row& row;
+  const std::string& text;
+
+  std::string operator()(std::string Settings::*member) const {
+    settings->*member = text;
+    return {};
+  }
+  std::string operator()(uint32_t Settings::*member) const {
+    return Number([&](uint32_t value) { settings->*member = value; });
+  }
+  std::string operator()(Millis Settings::*member) const {
+    return Number([&](uint32_t value) { settings->*member = Millis(value); });
+  }
+  std::string operator()(Address Settings::*member) const {
+    const Result<Address> address = Address::Parse(text);
+    if (!address) return "'" + text + "' is not IP:port";
+    settings->*member = *address;
+    return {};
+  }
+  std::string operator()(std::vector<Address> Settings::*member) const {
+    std::istringstream words(text);
+    std::string word;
+    std::string wrong;
+    std::vector<Address> addresses;
+    while (words >> word) {
+      const Result<Address> address = Address::Parse(word);
+      if (address) {
+        addresses.push_back(*address);
+      } else {
+        wrong += (wrong.empty() ? "'" : ", '") + word + "'";
+      }
+    }
+    if (!wrong.empty()) return wrong + " is not IP:port";
+    settings->*member = std::move(addresses);
+    return {};
+  }
+
+ private:
+  template <typename Fn>
+  std::string Number(Fn set) const {
+    uint32_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+      return "'" + text + "' is not a whole number of " +
+             std::to_string(row.min) + " to " + std::to_string(row.max);
+    }
+    if (value < row.min || value > row.max) {
+      return text + " is not in the range " + std::to_string(row.min) + " to " +
+             std::to_string(row.max);
+    }
+    set(value);
+    return {};
+  }
+};
+
+std::string Assign(Settings* settings, const Row& row,
+                   const std::string& text) {
+  return std::visit(Assigner{settings, row, text}, row.member);
+}
+
+struct IniItem {
+  int line = 0;
+  std::string section;
+  std::string key;
+  std::string value;
+};
+
+// inih reports no line numbers to its handler, so the reader that hands it the
+// lines counts them.
+struct IniPass {
+  const std::vector<std::string>* lines;
+  size_t next = 0;
+  std::vector<IniItem> items;
+
+  static char* Read(char* buffer, int size, void* self) {
+    auto* pass = static_cast<IniPass*>(self);
+    if (pass->next >= pass->lines->size()) return nullptr;
+    const std::string& line = (*pass->lines)[pass->next++];
+    std::snprintf(buffer, static_cast<size_t>(size), "%s\n", line.c_str());
+    return buffer;
+  }
+
+  static int Handle(void* self, const char* section, const char* key,
+                    const char* value) {
+    auto* pass = static_cast<IniPass*>(self);
+    pass->items.push_back({static_cast<int>(pass->next), section, key, value});
+    return 1;
+  }
+};
+
+constexpr size_t kMaxLineLength = 198;  // inih cuts longer lines.
+
+std::string LinePlace(const std::string& file, size_t line) {
+  return file + ":" + std::to_string(line);
+}
+
+std::vector<IniItem> ReadItems(const std::string& file, const std::string& text,
+                               Findings* findings) {
+  std::vector<std::string> lines;
+  std::istringstream stream(text);
+  for (std::string line; std::getline(stream, line);) {
+    lines.push_back(std::move(line));
+  }
+  for (size_t i = 0; i < lines.size(); ++i) {
+    if (lines[i].size() <= kMaxLineLength &&
+        lines[i].find('\0') == std::string::npos) {
+      continue;
+    }
+    findings->Add(LinePlace(file, i + 1), "the line is too long or binary");
+    lines[i].clear();
+  }
+  // inih names the first faulty line only; blank it and read again for the
+  // next.
+  while (true) {
+    IniPass pass{&lines, 0, {}};
+    const int fault =
+        ini_parse_stream(&IniPass::Read, &pass, &IniPass::Handle, &pass);
+    if (fault <= 0) return std::move(pass.items);
+    const auto index = static_cast<size_t>(fault) - 1;
+    findings->Add(LinePlace(file, index + 1),
+                  "neither a [section] nor key = value: " + lines[index]);
+    lines[index].clear();
+  }
+}
+
+void CheckNames(const Settings& settings, const std::string& file,
+                Findings* findings) {
+  if (!settings.role.empty() && settings.role != "entry" &&
+      settings.role != "guard") {
+    findings->Add(file + " [process] role",
+                  "'" + settings.role + "' is neither entry nor guard");
+  }
+  const auto policies = PlacementRegistry::Instance().names();
+  if (std::find(policies.begin(), policies.end(), settings.placement) ==
+      policies.end()) {
+    std::string known;
+    for (const std::string& name : policies) known += " " + name;
+    findings->Add(file + " [guard] placement",
+                  "'" + settings.placement + "' is none of:" + known);
+  }
+  static const std::set<std::string> kLevels = {"debug", "info", "warn",
+                                                "error"};
+  if (!kLevels.contains(settings.log_level)) {
+    findings->Add(
+        file + " [process] log_level",
+        "'" + settings.log_level + "' is none of: debug info warn error");
+  }
+  if (settings.listen.port != 0 && settings.listen == settings.http) {
+    findings->Add(file + " [process] http", "is the same as listen");
+  }
+}
+
+}  // namespace
+
+Checked<Settings> ParseSettings(const std::string& file,
+                                const std::string& text) {
+  Findings findings;
+  Settings settings;
+  for (const Row& row : kRows) {
+    if (row.default_value == nullptr) continue;
+    Assign(&settings, row, row.default_value);
+  }
+  std::set<const Row*> given;
+  for (const IniItem& item : ReadItems(file, text, &findings)) {
+    const std::string place = LinePlace(file, static_cast<size_t>(item.line)) +
+                              " [" + item.section + "] " + item.key;
+    const Row* row = FindRow(item.section, item.key);
+    if (row == nullptr) {
+      findings.Add(place, "unknown key");
+      continue;
+    }
+    if (!given.insert(row).second) {
+      findings.Add(place, "given twice");
+      continue;
+    }
+    const std::string wrong = Assign(&settings, *row, item.value);
+    if (!wrong.empty()) findings.Add(place, wrong);
+  }
+  for (const Row& row : kRows) {
+    if (row.default_value != nullptr || given.contains(&row)) continue;
+    findings.Add(file + " [" + row.section + "] " + row.key,
+                 "required key is missing");
+  }
+  CheckNames(settings, file, &findings);
+  if (!findings.empty()) return tl::unexpected(std::move(findings));
+  return settings;
+}
+
+Checked<Settings> LoadSettings(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  if (!stream.good()) {
+    return tl::unexpected(Findings(path, std::strerror(errno)));
+  }
+  return ParseSettings(path, text.str());
+}
+
+std::string SettingsReference() {
+  std::ostringstream out;
+  std::string section;
+  for (const Row& row : kRows) {
+    if (section != row.section) {
+      out << (section.empty() ? "" : "\n") << "[" << row.section << "]\n";
+      section = row.section;
+    }
+    out << "; " << row.meaning;
+    if (row.max > 0) out << " (" << row.min << " to " << row.max << ")";
+    if (row.default_value == nullptr) {
+      out << " (required)\n;" << row.key << " =\n";
+    } else {
+      out << "\n" << row.key << " = " << row.default_value << "\n";
+    }
+  }
+  return out.str();
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "quetzalspindle/address.h"
+#include "quetzalspindle/result.h"
+#include "quetzalspindle/time.h"
+
+namespace qs {
+
+// Every setting of the daemon. The table in settings.cc gives each its section,
+// key, range, default and meaning.
+struct Settings {
+  std::string role;
+  Address listen;
+  Address http;
+  std::string zone;
+  std::string log_level;
+  Millis stop_timeout{0};
+
+  std::vector<Address> seeds;
+  Millis gossip_interval{0};
+  uint32_t gossip_fanout = 0;
+  Millis suspect_after{0};
+
+  std::string platform_endpoint;
+  Millis platform_timeout{0};
+
+  uint32_t entry_threads = 0;
+  uint32_t id_block = 0;
+  uint32_t max_body_bytes = 0;
+  Millis home_lost_after{0};
+
+  std::string worker_kind;
+  std::string placement;
+  uint32_t queue_per_slot = 0;
+  uint32_t max_waiting_tasks = 0;
+  uint32_t max_jobs = 0;
+  Millis answer_retention{0};
+  Millis id_lifetime{0};
+  Millis max_deadline{0};
+  Millis executor_lost_after{0};
+  Millis announcement_ttl{0};
+  uint32_t breaker_failures = 0;
+  Millis breaker_pause{0};
+  Millis backend_idle_limit{0};
+};
+
+// Reads and checks an INI text. `file` names it in the findings. Fails with all
+// faults: lines that are no INI, unknown and repeated keys, values of the wrong
+// type or out of range, and required keys that are missing.
+Checked<Settings> ParseSettings(const std::string& file,
+                                const std::string& text);
+
+// As ParseSettings, for the file at a path.
+Checked<Settings> LoadSettings(const std::string& path);
+
+// A reference of all keys, as a commented INI file of the defaults.
+std::string SettingsReference();
+
+}  // namespace qs
--- /dev/null
+++ b/src/wire/codec.cc
@@ -0,0 +1,440 @@
+#include "wire/codec.h"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "wire/frame.generated.h"
+
+namespace qs {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+template <typename T>
+using Offset = flatbuffers::Offset<T>;
+
+constexpr uint8_t kMaxRole = static_cast<uint8_t>(Role::kGuard);
+constexpr uint8_t kMaxOnFailure = static_cast<uint8_t>(OnFailure::kFinish);
+constexpr uint8_t kMaxOutcome = static_cast<uint8_t>(Outcome::kUnknown);
+constexpr uint8_t kMaxJobState = static_cast<uint8_t>(JobState::kRefused);
+constexpr uint8_t kMaxServingState =
+    static_cast<uint8_t>(ServingState::kStopping);
+constexpr uint8_t kMaxPhase = static_cast<uint8_t>(GrantPhase::kEnded);
+
+uint32_t ToWire(Millis value) {
+  return value.count() < 0 ? 0 : static_cast<uint32_t>(value.count());
+}
+
+Offset<flatbuffers::Vector<uint8_t>> Bytes(Builder* b, std::string_view text) {
+  return b->CreateVector(reinterpret_cast<const uint8_t*>(text.data()),
+                         text.size());
+}
+
+std::string Text(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+std::string Text(const flatbuffers::Vector<uint8_t>* bytes) {
+  if (bytes == nullptr) return {};
+  return {reinterpret_cast<const char*>(bytes->data()), bytes->size()};
+}
+
+fb::Load ToFb(const Load& load) {
+  return {load.slots, load.running, load.queued, load.yours,
+          static_cast<uint8_t>(load.state)};
+}
+
+Offset<fb::TaskResult> ToFb(Builder* b, const TaskResult& result) {
+  const auto output = Bytes(b, result.output);
+  return fb::CreateTaskResult(*b, static_cast<uint8_t>(result.outcome),
+                              static_cast<uint8_t>(result.reason), output);
+}
+
+Offset<fb::Job> ToFb(Builder* b, const JobSpec& job) {
+  std::vector<Offset<fb::Payload>> payloads;
+  payloads.reserve(job.payloads.size());
+  for (const std::string& payload : job.payloads) {
+    payloads.push_back(fb::CreatePayload(*b, Bytes(b, payload)));
+  }
+  const auto team = b->CreateString(job.team);
+  const auto service = b->CreateString(job.service);
+  const auto label = b->CreateString(job.label);
+  const auto zone = b->CreateString(job.zone);
+  const auto kind = b->CreateString(job.worker_kind);
+  return fb::CreateJob(*b, team, service, label, zone, kind,
+                       ToWire(job.deadline), job.repeatable,
+                       static_cast<uint8_t>(job.on_failure),
+                       b->CreateVector(payloads));
+}
+
+Offset<fb::Member> ToFb(Builder* b, const MemberRecord& m) {
+  const auto zone = b->CreateString(m.zone);
+  const auto kind = b->CreateString(m.worker_kind);
+  const auto services = b->CreateVectorOfStrings(m.services);
+  const fb::Load load = ToFb(m.load);
+  return fb::CreateMember(*b, m.address.ip, m.address.port, m.incarnation.value,
+                          m.version, static_cast<uint8_t>(m.role), zone, kind,
+                          services, &load, m.config_version);
+}
+
+// Builds the body of each message type. Returns its union tag and offset.
+struct BodyWriter {
+  Builder* b;
+  using Written = std::pair<fb::Body, Offset<void>>;
+
+  Written operator()(const Hello& m) const {
+    return {fb::Body::Hello,
+            fb::CreateHello(*b, m.incarnation.value, m.address.ip,
+                            m.address.port, static_cast<uint8_t>(m.role))
+                .Union()};
+  }
+  Written operator()(const MintRequest& m) const {
+    return {fb::Body::MintRequest,
+            fb::CreateMintRequest(*b, m.request, m.count).Union()};
+  }
+  Written operator()(const MintReply& m) const {
+    return {
+        fb::Body::MintReply,
+        fb::CreateMintReply(*b, m.request, m.first, m.count, ToWire(m.lifetime),
+                            static_cast<uint8_t>(m.reason))
+            .Union()};
+  }
+  Written operator()(const SubmitRequest& m) const {
+    const auto job = ToFb(b, m.job);
+    return {
+        fb::Body::SubmitRequest,
+        fb::CreateSubmitRequest(*b, m.request, m.sequence, ToWire(m.wait), job)
+            .Union()};
+  }
+  Written operator()(const QueryRequest& m) const {
+    return {fb::Body::QueryRequest,
+            fb::CreateQueryRequest(*b, m.request, m.sequence, ToWire(m.wait))
+                .Union()};
+  }
+  Written operator()(const CancelRequest& m) const {
+    return {fb::Body::CancelRequest,
+            fb::CreateCancelRequest(*b, m.request, m.sequence, ToWire(m.wait))
+                .Union()};
+  }
+  Written operator()(const JobReply& m) const {
+    std::vector<Offset<fb::TaskResult>> results;
+    results.reserve(m.answer.results.size());
+    for (const TaskResult& result : m.answer.results) {
+      results.push_back(ToFb(b, result));
+    }
+    const auto vector = b->CreateVector(results);
+    return {
+        fb::Body::JobReply,
+        fb::CreateJobReply(*b, m.request, static_cast<uint8_t>(m.answer.state),
+                           static_cast<uint8_t>(m.answer.reason),
+                           ToWire(m.answer.retry_after), vector)
+            .Union()};
+  }
+  Written operator()(const GrantBatch& m) const {
+    std::vector<Offset<fb::Grant>> grants;
+    grants.reserve(m.grants.size());
+    for (const Grant& grant : m.grants) {
+      const auto payload = Bytes(b, grant.payload);
+      const auto service = b->CreateSharedString(grant.service);
+      grants.push_back(fb::CreateGrant(
+          *b, grant.number, ToWire(grant.remaining), payload, service));
+    }
+    const auto vector = b->CreateVector(grants);
+    return {
+        fb::Body::GrantBatch,
+        fb::CreateGrantBatch(*b, m.watermark, m.target.value, vector).Union()};
+  }
+  Written operator()(const AskBatch& m) const {
+    const auto numbers = b->CreateVector(m.numbers);
+    return {
+        fb::Body::AskBatch,
+        fb::CreateAskBatch(*b, m.watermark, m.target.value, m.withdraw, numbers)
+            .Union()};
+  }
+  Written operator()(const GrantReplies& m) const {
+    std::vector<Offset<fb::GrantStatus>> statuses;
+    statuses.reserve(m.statuses.size());
+    for (const GrantStatus& status : m.statuses) {
+      const auto result = ToFb(b, status.result);
+      statuses.push_back(fb::CreateGrantStatus(
+          *b, status.number, static_cast<uint8_t>(status.phase), result));
+    }
+    const auto vector = b->CreateVector(statuses);
+    const fb::Load load = ToFb(m.load);
+    return {fb::Body::GrantReplies,
+            fb::CreateGrantReplies(*b, &load, vector).Union()};
+  }
+  Written operator()(const Gossip& m) const {
+    std::vector<Offset<fb::Member>> members;
+    members.reserve(m.members.size());
+    for (const MemberRecord& member : m.members) {
+      members.push_back(ToFb(b, member));
+    }
+    const auto vector = b->CreateVector(members);
+    return {fb::Body::Gossip,
+            fb::CreateGossip(*b, m.want_reply, vector).Union()};
+  }
+  Written operator()(const ConfigOffer& m) const {
+    const auto document = b->CreateString(m.document);
+    return {fb::Body::ConfigOffer,
+            fb::CreateConfigOffer(*b, m.version, document).Union()};
+  }
+  Written operator()(const AdminRequest& m) const {
+    const auto verb = b->CreateString(m.verb);
+    const auto argument = b->CreateString(m.argument);
+    return {fb::Body::AdminRequest,
+            fb::CreateAdminRequest(*b, m.request, verb, argument).Union()};
+  }
+  Written operator()(const AdminReply& m) const {
+    const auto document = b->CreateString(m.document);
+    return {fb::Body::AdminReply,
+            fb::CreateAdminReply(*b, m.request, static_cast<uint8_t>(m.reason),
+                                 document)
+                .Union()};
+  }
+};
+
+// Reads one frame body; `valid` turns false at the first value out of range.
+class BodyReader {
+ public:
+  bool valid() const { return valid_; }
+
+  Message Read(const fb::Frame& frame) {
+    switch (frame.body_type()) {
+      case fb::Body::Hello:
+        return ReadHello(*frame.body_as_Hello());
+      case fb::Body::MintRequest:
+        return ReadMintRequest(*frame.body_as_MintRequest());
+      case fb::Body::MintReply:
+        return ReadMintReply(*frame.body_as_MintReply());
+      case fb::Body::SubmitRequest:
+        return ReadSubmit(*frame.body_as_SubmitRequest());
+      case fb::Body::QueryRequest:
+        return ReadWaiting<QueryRequest>(*frame.body_as_QueryRequest());
+      case fb::Body::CancelRequest:
+        return ReadWaiting<CancelRequest>(*frame.body_as_CancelRequest());
+      case fb::Body::JobReply:
+        return ReadJobReply(*frame.body_as_JobReply());
+      case fb::Body::GrantBatch:
+        return ReadGrants(*frame.body_as_GrantBatch());
+      case fb::Body::AskBatch:
+        return ReadAsk(*frame.body_as_AskBatch());
+      case fb::Body::GrantReplies:
+        return ReadReplies(*frame.body_as_GrantReplies());
+      case fb::Body::Gossip:
+        return ReadGossip(*frame.body_as_Gossip());
+      case fb::Body::ConfigOffer:
+        return ReadConfig(*frame.body_as_ConfigOffer());
+      case fb::Body::AdminRequest:
+        return ReadAdminRequest(*frame.body_as_AdminRequest());
+      case fb::Body::AdminReply:
+        return ReadAdminReply(*frame.body_as_AdminReply());
+      default:
+        valid_ = false;
+        return Hello{};
+    }
+  }
+
+ private:
+  template <typename E>
+  E Enum(uint8_t value, uint8_t max) {
+    if (value > max) valid_ = false;
+    return static_cast<E>(value);
+  }
+
+  // Calls `read` for each element of a vector that may be absent.
+  template <typename V, typename Fn>
+  void ForEach(const V* vector, Fn read) {
+    if (vector == nullptr) return;
+    for (const auto* item : *vector) read(*item);
+  }
+
+  Load ReadLoad(const fb::Load* load) {
+    if (load == nullptr) return {};
+    return {load->slots(), load->running(), load->queued(), load->yours(),
+            Enum<ServingState>(load->state(), kMaxServingState)};
+  }
+
+  TaskResult ReadResult(const fb::TaskResult* result) {
+    if (result == nullptr) {
+      valid_ = false;
+      return {};
+    }
+    return {Enum<Outcome>(result->outcome(), kMaxOutcome),
+            ReasonFromWire(result->reason()), Text(result->output())};
+  }
+
+  Hello ReadHello(const fb::Hello& m) {
+    return {
+        {m.incarnation()}, {m.ip(), m.port()}, Enum<Role>(m.role(), kMaxRole)};
+  }
+
+  static MintRequest ReadMintRequest(const fb::MintRequest& m) {
+    return {m.request(), m.count()};
+  }
+
+  static MintReply ReadMintReply(const fb::MintReply& m) {
+    return {m.request(), m.first(), m.count(), Millis(m.lifetime_ms()),
+            ReasonFromWire(m.reason())};
+  }
+
+  SubmitRequest ReadSubmit(const fb::SubmitRequest& m) {
+    SubmitRequest out{m.request(), m.sequence(), Millis(m.wait_ms()), {}};
+    if (m.job() == nullptr) {
+      valid_ = false;
+      return out;
+    }
+    const fb::Job& job = *m.job();
+    out.job.team = Text(job.team());
+    out.job.service = Text(job.service());
+    out.job.label = Text(job.label());
+    out.job.zone = Text(job.zone());
+    out.job.worker_kind = Text(job.worker_kind());
+    out.job.deadline = Millis(job.deadline_ms());
+    out.job.repeatable = job.repeatable();
+    out.job.on_failure = Enum<OnFailure>(job.on_failure(), kMaxOnFailure);
+    ForEach(job.payloads(), [&](const fb::Payload& payload) {
+      out.job.payloads.push_back(Text(payload.bytes()));
+    });
+    const size_t count = out.job.payloads.size();
+    if (count == 0 || count > kMaxTasksPerJob) valid_ = false;
+    return out;
+  }
+
+  template <typename T, typename F>
+  static T ReadWaiting(const F& m) {
+    return {m.request(), m.sequence(), Millis(m.wait_ms())};
+  }
+
+  JobReply ReadJobReply(const fb::JobReply& m) {
+    JobReply out;
+    out.request = m.request();
+    out.answer.state = Enum<JobState>(m.state(), kMaxJobState);
+    out.answer.reason = ReasonFromWire(m.reason());
+    out.answer.retry_after = Millis(m.retry_after_ms());
+    ForEach(m.results(), [&](const fb::TaskResult& result) {
+      out.answer.results.push_back(ReadResult(&result));
+    });
+    return out;
+  }
+
+  GrantBatch ReadGrants(const fb::GrantBatch& m) {
+    GrantBatch out{m.watermark(), {m.target()}, {}};
+    ForEach(m.grants(), [&](const fb::Grant& grant) {
+      out.grants.push_back({grant.number(), Millis(grant.remaining_ms()),
+                            Text(grant.service()), Text(grant.payload())});
+    });
+    return out;
+  }
+
+  static AskBatch ReadAsk(const fb::AskBatch& m) {
+    AskBatch out{m.watermark(), {m.target()}, m.withdraw(), {}};
+    if (m.numbers() != nullptr) {
+      out.numbers.assign(m.numbers()->begin(), m.numbers()->end());
+    }
+    return out;
+  }
+
+  GrantReplies ReadReplies(const fb::GrantReplies& m) {
+    GrantReplies out{ReadLoad(m.load()), {}};
+    ForEach(m.statuses(), [&](const fb::GrantStatus& status) {
+      out.statuses.push_back({status.number(),
+                              Enum<GrantPhase>(status.phase(), kMaxPhase),
+                              ReadResult(status.result())});
+    });
+    return out;
+  }
+
+  Gossip ReadGossip(const fb::Gossip& m) {
+    Gossip out{m.want_reply(), {}};
+    ForEach(m.members(), [&](const fb::Member& member) {
+      out.members.push_back(ReadMember(member));
+    });
+    return out;
+  }
+
+  MemberRecord ReadMember(const fb::Member& m) {
+    MemberRecord out;
+    out.address = {m.ip(), m.port()};
+    out.incarnation = {m.incarnation()};
+    out.version = m.version();
+    out.role = Enum<Role>(m.role(), kMaxRole);
+    out.zone = Text(m.zone());
+    out.worker_kind = Text(m.worker_kind());
+    if (m.services() != nullptr) {
+      for (const auto* service : *m.services()) {
+        out.services.push_back(service->str());
+      }
+    }
+    out.load = ReadLoad(m.load());
+    out.config_version = m.config_version();
+    return out;
+  }
+
+  static ConfigOffer ReadConfig(const fb::ConfigOffer& m) {
+    return {m.version(), Text(m.document())};
+  }
+
+  static AdminRequest ReadAdminRequest(const fb::AdminRequest& m) {
+    return {m.request(), Text(m.verb()), Text(m.argument())};
+  }
+
+  static AdminReply ReadAdminReply(const fb::AdminReply& m) {
+    return {m.request(), ReasonFromWire(m.reason()), Text(m.document())};
+  }
+
+  bool valid_ = true;
+};
+
+}  // namespace
+
+std::string_view ServingStateName(ServingState state) {
+  static constexpr std::array<std::string_view, 5> kNames = {
+      "serving", "draining", "breaker_open", "absent", "stopping"};
+  return kNames.at(static_cast<size_t>(state));
+}
+
+std::string EncodeFrame(const Message& message) {
+  Builder builder;
+  const auto [type, body] = std::visit(BodyWriter{&builder}, message);
+  builder.Finish(fb::CreateFrame(builder, type, body));
+  const uint32_t size = builder.GetSize();
+  std::string frame;
+  frame.reserve(kFrameHeaderBytes + size);
+  for (size_t i = 0; i < kFrameHeaderBytes; ++i) {
+    frame.push_back(static_cast<char>((size >> (8 * i)) & 0xFFU));
+  }
+  frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
+  return frame;
+}
+
+Result<uint32_t> DecodeHeader(
+    std::span<const uint8_t, kFrameHeaderBytes> bytes) {
+  uint32_t size = 0;
+  for (size_t i = 0; i < kFrameHeaderBytes; ++i) {
+    size |= static_cast<uint32_t>(bytes[i]) << (8 * i);
+  }
+  if (size == 0 || size > kMaxFrameBytes) {
+    return tl::unexpected(std::make_error_code(std::errc::message_size));
+  }
+  return size;
+}
+
+Result<Message> DecodeBody(std::span<const uint8_t> body) {
+  const auto bad = [] {
+    return tl::unexpected(std::make_error_code(std::errc::bad_message));
+  };
+  flatbuffers::Verifier verifier(body.data(), body.size());
+  if (!fb::VerifyFrameBuffer(verifier)) return bad();
+  const fb::Frame* frame = fb::GetFrame(body.data());
+  if (frame->body() == nullptr) return bad();
+  BodyReader reader;
+  Message message = reader.Read(*frame);
+  if (!reader.valid()) return bad();
+  return message;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/wire/messages.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "quetzalspindle/ids.h"
+#include "quetzalspindle/job.h"
+
+namespace qs {
+
+// The messages between processes, as the deciding parts see them. wire/codec.h
+// turns them into frames. Each request carries a number of the sender's choice
+// that the reply repeats.
+
+enum class Role : uint8_t { kEntry, kGuard };
+
+// Sent first by both ends of a connection.
+struct Hello {
+  Incarnation incarnation;
+  Address address;  // Where the sender accepts connections.
+  Role role = Role::kEntry;
+};
+
+struct MintRequest {
+  uint64_t request = 0;
+  uint32_t count = 0;
+};
+
+struct MintReply {
+  uint64_t request = 0;
+  uint64_t first = 0;  // Sequences first to first + count - 1 are now valid.
+  uint32_t count = 0;  // Zero when refused.
+  Millis lifetime{0};  // An id not handed in for so long is retired.
+  Reason reason = Reason::kNone;
+};
+
+struct SubmitRequest {
+  uint64_t request = 0;
+  uint64_t sequence = 0;
+  Millis wait{0};
+  JobSpec job;
+};
+
+struct QueryRequest {
+  uint64_t request = 0;
+  uint64_t sequence = 0;
+  Millis wait{0};
+};
+
+struct CancelRequest {
+  uint64_t request = 0;
+  uint64_t sequence = 0;
+  Millis wait{0};
+};
+
+struct JobReply {
+  uint64_t request = 0;
+  JobAnswer answer;
+};
+
+struct Grant {
+  GrantNumber number = 0;
+  Millis remaining{0};  // Until the job's deadline.
+  std::string service;
+  std::string payload;
+};
+
+// From a home to an executor. Every grant below the watermark is closed at the
+// home, whatever became of it.
+struct GrantBatch {
+  GrantNumber watermark = 0;
+  Incarnation target;  // The executor incarnation that alone may start these.
+  std::vector<Grant> grants;
+};
+
+// Asks for the state of grants. With `withdraw`, a grant that has not started
+// shall not start.
+struct AskBatch {
+  GrantNumber watermark = 0;
+  Incarnation target;
+  bool withdraw = false;
+  std::vector<GrantNumber> numbers;
+};
+
+// Whether a guard's backend server may get new work.
+enum class ServingState : uint8_t {
+  kServing,
+  kDraining,
+  kBreakerOpen,
+  kAbsent,
+  kStopping,
+};
+std::string_view ServingStateName(ServingState state);
+
+struct Load {
+  uint32_t slots = 0;
+  uint32_t running = 0;
+  uint32_t queued = 0;
+  uint32_t yours = 0;  // Of running and queued, those of the receiving home.
+  ServingState state = ServingState::kAbsent;
+};
+
+enum class GrantPhase : uint8_t { kQueued, kRunning, kEnded };
+
+struct GrantStatus {
+  GrantNumber number = 0;
+  GrantPhase phase = GrantPhase::kQueued;
+  TaskResult result;  // Meaningful when ended.
+};
+
+struct GrantReplies {
+  Load load;
+  std::vector<GrantStatus> statuses;
+};
+
+// What one process says of itself to all. A record with a higher version
+// replaces one with a lower version at the same address.
+struct MemberRecord {
+  Address address;
+  Incarnation incarnation;
+  uint64_t version = 0;
+  Role role = Role::kEntry;
+  std::string zone;
+  std::string worker_kind;
+  std::vector<std::string> services;
+  Load load;
+  uint64_t config_version = 0;
+};
+
+struct Gossip {
+  bool want_reply = false;
+  std::vector<MemberRecord> members;
+};
+
+struct ConfigOffer {
+  uint64_t version = 0;
+  std::string document;  // Empty when only the version is announced.
+};
+
+// An operator's query or command for one process; the document is JSON.
+struct AdminRequest {
+  uint64_t request = 0;
+  std::string verb;
+  std::string argument;
+};
+
+struct AdminReply {
+  uint64_t request = 0;
+  Reason reason = Reason::kNone;
+  std::string document;
+};
+
+using Message =
+    std::variant<Hello, MintRequest, MintReply, SubmitRequest, QueryRequest,
+                 CancelRequest, JobReply, GrantBatch, AskBatch, GrantReplies,
+                 Gossip, ConfigOffer, AdminRequest, AdminReply>;
+
+}  // namespace qs
