--- a/src/core/executor.cc
+++ b/src/core/executor.cc
@@ -61,7 +61,7 @@
   state->highest = std::max(state->highest, number);
   Record& record = entry->second;
   record.received = now;
-  const Reason refusal = RefusalFor(grant, now);
+  const Reason refusal = RefusalFor(home, grant, now);
   if (refusal != Reason::kNone) {
     End(home, number, &record, NotRun(refusal));
     return;
@@ -74,9 +74,13 @@
   queue_.push_back({home, number});
 }
 
-Reason Executor::RefusalFor(const Grant& grant, Instant now) const {
-  switch (state(now)) {
+Reason Executor::RefusalFor(Incarnation home, const Grant& grant,
+                            Instant now) const {
+  // While stopping, the jobs of this process's own home may still end here.
+  if (stopping_ && home != self_) return Reason::kStopping;
+  switch (backend_state(now)) {
     case ServingState::kServing:
+    case ServingState::kStopping:
       break;
     case ServingState::kDraining:
       return Reason::kExecutorDraining;
@@ -84,8 +88,6 @@
       return Reason::kBreakerOpen;
     case ServingState::kAbsent:
       return Reason::kBackendAbsent;
-    case ServingState::kStopping:
-      return Reason::kStopping;
   }
   if (!Offers(grant.service)) return Reason::kWrongService;
   // While the breaker is open, one grant at a time comes in as the probe.
@@ -345,7 +347,10 @@
 }
 
 ServingState Executor::state(Instant now) const {
-  if (stopping_) return ServingState::kStopping;
+  return stopping_ ? ServingState::kStopping : backend_state(now);
+}
+
+ServingState Executor::backend_state(Instant now) const {
   if (draining_) return ServingState::kDraining;
   if (!announced_ || now - announced_at_ > options_.announcement_ttl) {
     return ServingState::kAbsent;
--- a/src/core/executor.h
+++ b/src/core/executor.h
@@ -77,7 +77,8 @@
   void OnAnnouncement(const Announcement& announcement, Instant now);
   void OnBackendGone(Instant now);
   void SetDraining(bool draining, Instant now);
-  // Gives every queued grant back and takes no more.
+  // Gives every queued grant back. From now on only the home of this process
+  // gets tasks started here.
   void Stop(Instant now);
   void OnTimer(Instant now);
 
@@ -125,7 +126,8 @@
   void Forget(HomeState* state, Incarnation home);
   void StartReady(Instant now);
   bool StartNext(Instant now);
-  Reason RefusalFor(const Grant& grant, Instant now) const;
+  Reason RefusalFor(Incarnation home, const Grant& grant, Instant now) const;
+  ServingState backend_state(Instant now) const;
   void Reply(Incarnation home, GrantStatus status);
   void JudgeBackend(const TaskResult& result, Instant now);
   bool Offers(const std::string& service) const;
--- a/src/core/home.cc
+++ b/src/core/home.cc
@@ -12,6 +12,9 @@
 // Load that came by gossip replaces that of a direct reply older than this.
 constexpr Millis kReplyLoadLifetime{500};
 
+constexpr Millis kFirstRefusalPause{2};
+constexpr Millis kLongestRefusalPause{1000};
+
 TaskResult Ended(Outcome outcome, Reason reason) {
   return {outcome, reason, {}};
 }
@@ -347,15 +350,26 @@
   const bool is_returned = status.result.outcome == Outcome::kNotRun;
   if (is_returned && job.stop_reason == Reason::kNone &&
       status.result.reason != Reason::kDeadlinePassed) {
+    NoteRefusal(&executors_.at(incarnation), now);
     ReturnTask(ref, status.result.reason, now);
     return;
   }
   if (is_returned && job.stop_reason != Reason::kNone) {
     status.result.reason = job.stop_reason;
   }
+  if (!is_returned) executors_.at(incarnation).refusal_pause = Millis(0);
   EndTask(&job, ref.task, std::move(status.result), now);
 }
 
+// Keeps a task from bouncing between this home and an executor that refuses.
+void Home::NoteRefusal(Executor* executor, Instant now) {
+  // Refusals of one batch count once.
+  if (now < executor->refused_until) return;
+  executor->refusal_pause = std::clamp(
+      executor->refusal_pause * 2, kFirstRefusalPause, kLongestRefusalPause);
+  executor->refused_until = now + executor->refusal_pause;
+}
+
 void Home::CloseGrant(GrantNumber number) {
   const auto grant = grants_.find(number);
   assert(grant != grants_.end());
@@ -388,7 +402,7 @@
 bool Home::DispatchNext(const Demand& demand, Backlog* backlog, Instant now) {
   if (backlog->empty()) return false;
   Incarnation incarnation;
-  Executor* executor = ChooseExecutor(demand, &incarnation);
+  Executor* executor = ChooseExecutor(demand, now, &incarnation);
   if (executor == nullptr) return false;
   const TaskRef ref = backlog->Pop();
   const auto job = jobs_.find(ref.sequence);
@@ -400,29 +414,52 @@
   return true;
 }
 
-Home::Executor* Home::ChooseExecutor(const Demand& demand,
+Home::Executor* Home::ChooseExecutor(const Demand& demand, Instant now,
                                      Incarnation* incarnation) {
   std::vector<Candidate> candidates;
   std::vector<std::pair<Incarnation, Executor*>> executors;
   for (auto& [number, executor] : executors_) {
-    if (RoomAt(executor) == 0 || !Meets(executor, demand)) continue;
+    if (RoomAt(executor, now) == 0 || !Meets(executor, demand)) continue;
     candidates.push_back({executor.load.slots, OutstandingAt(executor),
                           executor.zone == options_.zone});
     executors.emplace_back(number, &executor);
   }
-  if (candidates.empty()) return nullptr;
+  if (candidates.empty())
+    return OwnExecutorWhileStopping(demand, now, incarnation);
   const size_t chosen = policy_->Choose(candidates, &random_);
   *incarnation = executors[chosen].first;
   return executors[chosen].second;
 }
 
+// A stopping home with jobs in progress and nobody else to take their tasks
+// ends them in its own process, whose executor refuses all other homes by then.
+Home::Executor* Home::OwnExecutorWhileStopping(const Demand& demand,
+                                               Instant now,
+                                               Incarnation* incarnation) {
+  if (!stopping_) return nullptr;
+  const auto own = executors_.find(options_.self);
+  if (own == executors_.end()) return nullptr;
+  Executor& executor = own->second;
+  const bool can_take = executor.load.state == ServingState::kStopping &&
+                        now >= executor.refused_until &&
+                        Meets(executor, demand) && FreePlacesAt(executor) > 0;
+  if (!can_take) return nullptr;
+  *incarnation = options_.self;
+  return &executor;
+}
+
 uint32_t Home::OutstandingAt(const Executor& executor) {
   return executor.others + static_cast<uint32_t>(executor.open.size());
 }
 
-uint32_t Home::RoomAt(const Executor& executor) const {
+uint32_t Home::RoomAt(const Executor& executor, Instant now) const {
   if (!executor.is_connected || !executor.is_live) return 0;
+  if (now < executor.refused_until) return 0;
   if (executor.load.state != ServingState::kServing) return 0;
+  return FreePlacesAt(executor);
+}
+
+uint32_t Home::FreePlacesAt(const Executor& executor) const {
   const uint32_t slots = executor.load.slots;
   const uint32_t limit = slots + slots * options_.queue_per_slot;
   const uint32_t outstanding = OutstandingAt(executor);
--- a/src/core/home.h
+++ b/src/core/home.h
@@ -21,6 +21,7 @@
 class Observer;
 
 struct HomeOptions {
+  Incarnation self;  // Of the executor in the same process.
   std::string zone;
   uint32_t queue_per_slot = 1;  // Grants beyond the slots of an executor.
   uint32_t max_waiting_tasks = 20'000;  // Further jobs are refused.
@@ -173,7 +174,9 @@
     bool is_connected = false;
     bool is_live = false;
     Instant cut_off_at;
-    Instant load_heard;  // In a reply of its own.
+    Instant load_heard;     // In a reply of its own.
+    Instant refused_until;  // No grants before, after refusals in a row.
+    Millis refusal_pause{0};
     std::set<GrantNumber> open;
     std::vector<Grant> batch;  // Not yet sent.
   };
@@ -204,8 +207,13 @@
 
   void Dispatch(Instant now);
   bool DispatchNext(const Demand& demand, Backlog* backlog, Instant now);
-  Executor* ChooseExecutor(const Demand& demand, Incarnation* incarnation);
-  uint32_t RoomAt(const Executor& executor) const;
+  Executor* ChooseExecutor(const Demand& demand, Instant now,
+                           Incarnation* incarnation);
+  Executor* OwnExecutorWhileStopping(const Demand& demand, Instant now,
+                                     Incarnation* incarnation);
+  uint32_t RoomAt(const Executor& executor, Instant now) const;
+  static void NoteRefusal(Executor* executor, Instant now);
+  uint32_t FreePlacesAt(const Executor& executor) const;
   static uint32_t OutstandingAt(const Executor& executor);
   void GrantTo(Incarnation incarnation, Executor* executor, TaskRef ref,
                Instant now);
--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,202 @@
+// qsctl: the operators' query and command language.
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+
+#include "base/version.h"
+#include "ctl/row_filter.h"
+#include "ctl/table.h"
+#include "http/http_client.h"
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kExitOk = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitUnreachable = 3;
+constexpr int kExitIncomplete = 4;  // Some processes did not answer.
+constexpr qs::Millis kTimeout{20'000};
+
+struct Options {
+  std::string entry;
+  bool as_json = false;
+  std::string what;
+  std::string target;
+  std::vector<std::string> conditions;
+};
+
+// What `show` can list: where it comes from and the columns people see.
+struct View {
+  std::string path;
+  std::vector<std::string> columns;
+};
+
+const std::map<std::string, View>& Views() {
+  static const std::map<std::string, View> views = {
+      {"jobs",
+       {"/v1/admin/jobs",
+        {"id", "team", "service", "label", "state", "reason", "age_ms", "tasks",
+         "waiting", "granted", "done", "failed", "not_run", "unknown"}}},
+      {"tasks",
+       {"/v1/admin/tasks/", {"task", "state", "reason", "attempts", "guard"}}},
+      {"guards",
+       {"/v1/admin/members",
+        {"address", "role", "zone", "live", "state", "slots", "running",
+         "queued", "config_version"}}},
+      {"backends",
+       {"/v1/admin/backends",
+        {"backend", "guard", "zone", "services", "state", "slots", "running",
+         "queued"}}},
+      {"refusals",
+       {"/v1/admin/refusals", {"process", "kind", "reason", "count"}}},
+  };
+  return views;
+}
+
+// One request to the entry. Prints the problem and returns an exit code other
+// than kExitOk when there is no document.
+int Request(const Options& options, const std::string& method,
+            const std::string& target, json* document) {
+  const auto entry = qs::Address::Parse(options.entry);
+  if (!entry) {
+    std::cerr << "--entry: must be IP:port\n";
+    return kExitUsage;
+  }
+  qs::HttpClient client(*entry, qs::Millis(0));
+  qs::HttpClient::Request request;
+  request.method = method;
+  request.target = target;
+  request.timeout = kTimeout;
+  const auto response = client.Exchange(request);
+  if (!response) {
+    std::cerr << options.entry << ": no response\n";
+    return kExitUnreachable;
+  }
+  *document = json::parse(response->body, nullptr, false);
+  if (response->status < 300 && document->is_object()) return kExitOk;
+  if (document->is_object()) {
+    std::cerr << document->value("reason", "") << ": "
+              << document->value("title", "") << "\n";
+    for (const json& finding : document->value("findings", json::array())) {
+      std::cerr << "  " << finding.value("place", "") << ": "
+                << finding.value("text", "") << "\n";
+    }
+  } else {
+    std::cerr << options.entry << ": status " << response->status << "\n";
+  }
+  return kExitRefused;
+}
+
+int Print(const Options& options, const json& document, const json& rows,
+          const std::vector<std::string>& columns) {
+  const json silent = document.value("unreachable", json::array());
+  if (options.as_json) {
+    std::cout << json{{"rows", rows}, {"unreachable", silent}}.dump(2) << "\n";
+  } else {
+    std::cout << qs::FormatTable(rows, columns);
+  }
+  for (const json& address : silent) {
+    std::cerr << "no answer from " << address.get<std::string>() << "\n";
+  }
+  return silent.empty() ? kExitOk : kExitIncomplete;
+}
+
+int Show(const Options& options) {
+  const View& view = Views().at(options.what);
+  std::vector<std::string> words = options.conditions;
+  std::string path = view.path;
+  if (options.what == "tasks") {
+    if (words.empty()) {
+      std::cerr << "show tasks: needs the id of a submission\n";
+      return kExitUsage;
+    }
+    path += words.front();
+    words.erase(words.begin());
+  }
+  const auto filter = qs::RowFilter::Parse(words);
+  if (!filter) {
+    std::cerr << filter.error().ToText();
+    return kExitUsage;
+  }
+  json document;
+  const int code = Request(options, "GET", path, &document);
+  if (code != kExitOk) return code;
+  json rows = json::array();
+  for (const json& row : document.value("rows", json::array())) {
+    if (filter->Passes(row)) rows.push_back(row);
+  }
+  return Print(options, document, rows, view.columns);
+}
+
+int Command(const Options& options, const std::string& verb) {
+  json document;
+  const int code = Request(
+      options, "POST", "/v1/admin/" + verb + "/" + options.target, &document);
+  if (code != kExitOk) return code;
+  return Print(options, document, document.value("rows", json::array()),
+               Views().at("backends").columns);
+}
+
+int Cancel(const Options& options) {
+  json document;
+  const int code =
+      Request(options, "DELETE",
+              "/v1/submissions/" + options.target + "?wait=5000", &document);
+  if (code != kExitOk) return code;
+  std::cout << (options.as_json ? document.dump(2)
+                                : document.value("state", ""))
+            << "\n";
+  return kExitOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "qsctl: asks quetzalspindle what ran, what waits and what failed, and "
+      "gives it commands.\n\n"
+      "  qsctl show jobs state=failed team=club\n"
+      "  qsctl show jobs state=running 'age_ms>5000'\n"
+      "  qsctl show tasks SUBMISSION state=unknown\n"
+      "  qsctl show guards zone=nitra live=true\n"
+      "  qsctl drain 10.1.2.3:7000\n\n"
+      "Exit codes: 0 done, 1 refused, 2 bad arguments, 3 entry not reached, 4 "
+      "some processes did not answer."};
+  Options options;
+  app.set_version_flag("--version", qs::kVersion);
+  app.require_subcommand(1);
+  app.add_option("--entry", options.entry, "HTTP IP:port of an entry host")
+      ->envname("QSCTL_ENTRY")
+      ->required();
+  app.add_flag("--json", options.as_json, "print JSON for scripts");
+  auto* show = app.add_subcommand(
+      "show", "list rows; conditions are column=value, !=, > and <");
+  std::vector<std::string> names;
+  for (const auto& [name, view] : Views()) names.push_back(name);
+  show->add_option("what", options.what)
+      ->required()
+      ->check(CLI::IsMember(names));
+  show->add_option("conditions", options.conditions);
+  auto* drain =
+      app.add_subcommand("drain", "give a backend server no new work");
+  drain->add_option("guard", options.target, "IP:port of its guard")
+      ->required();
+  auto* undrain = app.add_subcommand("undrain", "end a drain");
+  undrain->add_option("guard", options.target, "IP:port of its guard")
+      ->required();
+  auto* cancel = app.add_subcommand("cancel", "cancel a submission");
+  cancel->add_option("id", options.target)->required();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kExitOk : kExitUsage;
+  }
+  if (show->parsed()) return Show(options);
+  if (drain->parsed()) return Command(options, "drain");
+  if (undrain->parsed()) return Command(options, "undrain");
+  return Cancel(options);
+}
--- a/src/daemon/guard_role.cc
+++ b/src/daemon/guard_role.cc
@@ -22,8 +22,10 @@
 const bool kRegistered =
     RoleRegistry::Instance().Register("guard", &GuardRole::Make);
 
-HomeOptions HomeOptionsFrom(const Settings& settings) {
+HomeOptions HomeOptionsFrom(const Kernel& kernel) {
+  const Settings& settings = kernel.settings;
   HomeOptions options;
+  options.self = kernel.incarnation;
   options.zone = settings.zone;
   options.queue_per_slot = settings.queue_per_slot;
   options.max_waiting_tasks = settings.max_waiting_tasks;
@@ -59,7 +61,7 @@
 std::error_code GuardRole::OnStart() {
   const Settings& settings = kernel_->settings;
   const auto seed = static_cast<uint32_t>(kernel_->incarnation.value);
-  home_ = Home::Make(HomeOptionsFrom(settings),
+  home_ = Home::Make(HomeOptionsFrom(*kernel_),
                      PlacementRegistry::Instance().Make(settings.placement),
                      &kernel_->metrics, seed);
   executor_ = std::make_unique<Executor>(
