--- a/include/quetzalspindle/findings.h
+++ b/include/quetzalspindle/findings.h
@@ -24,6 +24,9 @@
   void Add(std::string place, std::string text) {
     items_.push_back({std::move(place), std::move(text)});
   }
+  void Add(const Findings& others) {
+    items_.insert(items_.end(), others.items_.begin(), others.items_.end());
+  }
   bool empty() const { return items_.empty(); }
   const std::vector<Finding>& items() const { return items_; }
 
--- a/src/core/home.cc
+++ b/src/core/home.cc
@@ -424,8 +424,9 @@
                           executor.zone == options_.zone});
     executors.emplace_back(number, &executor);
   }
-  if (candidates.empty())
+  if (candidates.empty()) {
     return OwnExecutorWhileStopping(demand, now, incarnation);
+  }
   const size_t chosen = policy_->Choose(candidates, &random_);
   *incarnation = executors[chosen].first;
   return executors[chosen].second;
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -180,10 +180,7 @@
   Checked<JobSpec> job = ParseJob(request.body);
   if (!wait || !job) {
     Findings findings = job ? Findings() : job.error();
-    if (!wait) {
-      for (const Finding& f : wait.error().items())
-        findings.Add(f.place, f.text);
-    }
+    if (!wait) findings.Add(wait.error());
     return Refuse(Reason::kMalformedRequest, findings);
   }
   return Submit(*id, std::move(*job), *wait);
--- a/src/net/peer_network.cc
+++ b/src/net/peer_network.cc
@@ -73,8 +73,9 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
   }
   if (!error) acceptor_.bind(endpoint, error);
-  if (!error)
+  if (!error) {
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
   if (!error) Accept();
   return error;
 }
--- a/tests/lib/cluster.cc
+++ b/tests/lib/cluster.cc
@@ -104,8 +104,7 @@
   const auto& more =
       role == "guard" ? options_.guard_settings : options_.entry_settings;
   for (const auto& [section, lines] : more) sections[section] += lines;
-  const std::string path =
-      directory_ + "/" + role + std::to_string(number) + ".ini";
+  std::string path = directory_ + "/" + role + std::to_string(number) + ".ini";
   std::ofstream file(path);
   for (const auto& [section, lines] : sections) {
     file << "[" << section << "]\n" << lines;
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -60,8 +60,9 @@
   const auto starts = cluster.Starts();
   EXPECT_EQ(starts.size(), 40U);
   for (const auto& [name, count] : starts) EXPECT_EQ(count, 1) << name;
-  for (int i = 0; i < 2; ++i)
+  for (int i = 0; i < 2; ++i) {
     EXPECT_EQ(cluster.guard(i).Wait(Millis(60'000)), 0);
+  }
   cluster.entry(0).Signal(SIGTERM);
   EXPECT_EQ(cluster.entry(0).Wait(Millis(60'000)), 0);
 }
--- a/tools/qsload.cc
+++ b/tools/qsload.cc
@@ -65,6 +65,7 @@
     DrawArrivals();
     start_ = qs::Clock::now();
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<size_t>(options_.threads));
     for (int i = 0; i < options_.threads; ++i) {
       threads.emplace_back([this, i] { Worker(i); });
     }
@@ -124,6 +125,7 @@
       if (options_.jobs_per_second > 0) at += gap(random);
       arrivals_.push_back(at);
       std::vector<int> run_ms;
+      run_ms.reserve(static_cast<size_t>(options_.tasks));
       for (int t = 0; t < options_.tasks; ++t) run_ms.push_back(run(random));
       run_ms_.push_back(std::move(run_ms));
     }
