--- /dev/null
+++ b/tests/core_harness.cc
@@ -0,0 +1,252 @@
+#include "core_harness.h"
+
+#include <utility>
+
+namespace qs::test {
+namespace {
+
+constexpr uint32_t kSlots = 2;
+constexpr const char* kService = "sketch";
+constexpr Millis kWait{3'600'000};
+
+}  // namespace
+
+JobSpec MakeJob(const std::string& prefix, int tasks, OnFailure on_failure) {
+  JobSpec job;
+  job.team = "club";
+  job.service = kService;
+  job.on_failure = on_failure;
+  for (int i = 0; i < tasks; ++i) {
+    job.payloads.push_back(prefix + "-" + std::to_string(i));
+  }
+  return job;
+}
+
+CoreHarness::CoreHarness(int executors)
+    : now_(Instant(std::chrono::hours(1))), executors_(Index(executors)) {
+  HomeOptions options;
+  options.self = home_incarnation_;
+  home_ = Home::Make(options, PlacementRegistry::Instance().Make("two_choices"),
+                     &observer_, 7);
+  for (int i = 0; i < executors; ++i) StartExecutor(i);
+  for (int i = 0; i < executors; ++i) {
+    Announce(i);
+    executors_[Index(i)].known = executors_[Index(i)].incarnation;
+    home_->OnMember(RecordOf(i), true, now_);
+    home_->OnExecutorUp(AddressOf(i), executors_[Index(i)].incarnation, now_);
+  }
+  home_->SetWarm();
+  Pump();
+}
+
+Address CoreHarness::AddressOf(int i) const {
+  return {0x0A000001U + static_cast<uint32_t>(i), 7000};
+}
+
+MemberRecord CoreHarness::RecordOf(int i) const {
+  const Node& node = executors_[Index(i)];
+  MemberRecord record;
+  record.address = AddressOf(i);
+  record.incarnation = node.incarnation;
+  record.role = Role::kGuard;
+  record.services = {kService};
+  record.load = node.core->load(now_);
+  return record;
+}
+
+void CoreHarness::StartExecutor(int i) {
+  Node& node = executors_[Index(i)];
+  node.incarnation = {next_incarnation_++};
+  node.core = std::make_unique<Executor>(ExecutorOptions(), node.incarnation,
+                                         &observer_);
+}
+
+void CoreHarness::Announce(int executor) {
+  Announcement announcement;
+  announcement.address = AddressOf(executor);
+  announcement.services = {kService};
+  announcement.slots = kSlots;
+  executors_[Index(executor)].core->OnAnnouncement(announcement, now_);
+  Pump();
+}
+
+uint64_t CoreHarness::Mint() { return home_->OnMint({0, 1}, now_).first; }
+
+void CoreHarness::Submit(uint64_t sequence, const JobSpec& job) {
+  const uint64_t request = next_request_++;
+  requests_[request] = sequence;
+  home_->OnSubmit(1, {request, sequence, kWait, job}, now_);
+  Pump();
+}
+
+void CoreHarness::Cancel(uint64_t sequence) {
+  const uint64_t request = next_request_++;
+  requests_[request] = sequence;
+  home_->OnCancel(1, {request, sequence, kWait}, now_);
+  Pump();
+}
+
+void CoreHarness::Pump() {
+  for (HomeAction& action : home_->TakeActions()) Route(std::move(action));
+  for (size_t i = 0; i < executors_.size(); ++i) {
+    for (ExecutorAction& action : executors_[i].core->TakeActions()) {
+      Route(static_cast<int>(i), std::move(action));
+    }
+  }
+}
+
+void CoreHarness::Route(HomeAction action) {
+  if (auto* answer = std::get_if<SendAnswer>(&action)) {
+    answers_[requests_.at(answer->reply.request)].push_back(
+        std::move(answer->reply.answer));
+    return;
+  }
+  const auto* grants = std::get_if<SendGrants>(&action);
+  const Incarnation target =
+      grants != nullptr ? grants->executor : std::get<SendAsk>(action).executor;
+  for (Node& node : executors_) {
+    if (node.known == target && node.is_connected) {
+      node.to.push_back(std::move(action));
+      return;
+    }
+  }
+}
+
+void CoreHarness::Route(int executor, ExecutorAction action) {
+  Node& node = executors_[Index(executor)];
+  if (auto* start = std::get_if<StartTask>(&action)) {
+    ++starts_[start->payload];
+    node.running.push_back(std::move(*start));
+    return;
+  }
+  if (!node.is_connected) return;
+  node.from.emplace_back(node.incarnation,
+                         std::move(std::get<SendReplies>(action).replies));
+}
+
+size_t CoreHarness::InFlightTo(int executor) const {
+  return executors_[Index(executor)].to.size();
+}
+
+size_t CoreHarness::InFlightFrom(int executor) const {
+  return executors_[Index(executor)].from.size();
+}
+
+void CoreHarness::DeliverTo(int executor, size_t index, bool keep) {
+  Node& node = executors_[Index(executor)];
+  const HomeAction action = node.to[index];
+  if (!keep) node.to.erase(node.to.begin() + static_cast<ptrdiff_t>(index));
+  if (const auto* grants = std::get_if<SendGrants>(&action)) {
+    node.core->OnGrants(home_incarnation_, grants->batch, now_);
+  } else {
+    node.core->OnAsk(home_incarnation_, std::get<SendAsk>(action).ask, now_);
+  }
+  Pump();
+}
+
+void CoreHarness::DeliverFrom(int executor, size_t index, bool keep) {
+  Node& node = executors_[Index(executor)];
+  const auto [incarnation, replies] = node.from[index];
+  if (!keep) node.from.erase(node.from.begin() + static_cast<ptrdiff_t>(index));
+  home_->OnReplies(incarnation, replies, now_);
+  Pump();
+}
+
+void CoreHarness::LoseTo(int executor, size_t index) {
+  auto& to = executors_[Index(executor)].to;
+  to.erase(to.begin() + static_cast<ptrdiff_t>(index));
+}
+
+void CoreHarness::LoseFrom(int executor, size_t index) {
+  auto& from = executors_[Index(executor)].from;
+  from.erase(from.begin() + static_cast<ptrdiff_t>(index));
+}
+
+void CoreHarness::Cut(int executor) {
+  Node& node = executors_[Index(executor)];
+  if (!node.is_connected) return;
+  node.is_connected = false;
+  node.to.clear();
+  node.from.clear();
+  home_->OnExecutorCutOff(node.known, now_);
+  node.core->OnHomeCutOff(home_incarnation_, now_);
+  Pump();
+}
+
+void CoreHarness::Reconnect(int executor) {
+  Node& node = executors_[Index(executor)];
+  if (node.is_connected) return;
+  node.is_connected = true;
+  NoticeCrash(executor);
+  home_->OnExecutorUp(AddressOf(executor), node.incarnation, now_);
+  Pump();
+}
+
+void CoreHarness::CrashExecutor(int executor) {
+  Cut(executor);
+  StartExecutor(executor);
+  executors_[Index(executor)].running.clear();
+  Announce(executor);
+}
+
+void CoreHarness::NoticeCrash(int executor) {
+  Node& node = executors_[Index(executor)];
+  if (node.known == node.incarnation) return;
+  const Incarnation old = std::exchange(node.known, node.incarnation);
+  home_->OnExecutorGone(old, now_);
+  home_->OnMember(RecordOf(executor), true, now_);
+  Pump();
+}
+
+size_t CoreHarness::Running(int executor) const {
+  return executors_[Index(executor)].running.size();
+}
+
+void CoreHarness::EndTask(int executor, size_t index, TaskResult result) {
+  Node& node = executors_[Index(executor)];
+  const StartTask task = node.running[index];
+  node.running.erase(node.running.begin() + static_cast<ptrdiff_t>(index));
+  if (result.outcome == Outcome::kDone) result.output = "done:" + task.payload;
+  node.core->OnTaskEnded(task.key, std::move(result), now_);
+  Pump();
+}
+
+void CoreHarness::Advance(Millis duration) {
+  constexpr Millis kStep{1000};
+  for (Millis left = duration; left > Millis(0); left -= kStep) {
+    now_ += std::min(left, kStep);
+    for (size_t i = 0; i < executors_.size(); ++i) {
+      Announce(static_cast<int>(i));
+      executors_[i].core->OnTimer(now_);
+      const Node& node = executors_[i];
+      const bool gossips = node.is_connected && node.known == node.incarnation;
+      if (gossips) home_->OnMember(RecordOf(static_cast<int>(i)), true, now_);
+    }
+    home_->OnTimer(now_);
+    Pump();
+  }
+}
+
+void CoreHarness::Settle() {
+  const int count = static_cast<int>(executors_.size());
+  for (int i = 0; i < count; ++i) Reconnect(i);
+  constexpr int kRounds = 100;
+  for (int round = 0; round < kRounds; ++round) {
+    bool moved = false;
+    for (int i = 0; i < count; ++i) {
+      while (InFlightTo(i) > 0) DeliverTo(i, 0, false);
+      while (Running(i) > 0) {
+        EndTask(i, 0, {Outcome::kDone, Reason::kNone, {}});
+        moved = true;
+      }
+      while (InFlightFrom(i) > 0) {
+        DeliverFrom(i, 0, false);
+        moved = true;
+      }
+    }
+    Advance(Millis(1000));
+    if (!moved && home_->running_jobs() == 0) return;
+  }
+}
+
+}  // namespace qs::test
--- /dev/null
+++ b/tests/core_harness.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/executor.h"
+#include "core/home.h"
+#include "core/observer.h"
+
+namespace qs::test {
+
+// One home and several executors driven by hand: the test decides when each
+// message arrives, whether it is lost or repeated, and when a process crashes.
+// Backend servers are a naive record of every start.
+class CoreHarness {
+ public:
+  explicit CoreHarness(int executors);
+
+  Instant now() const { return now_; }
+  Home& home() { return *home_; }
+  Executor& executor(int i) { return *executors_[Index(i)].core; }
+
+  // Callers.
+  uint64_t Mint();
+  void Submit(uint64_t sequence, const JobSpec& job);
+  void Cancel(uint64_t sequence);
+  // The answers that callers got for a submission, in order.
+  const std::vector<JobAnswer>& answers(uint64_t sequence) {
+    return answers_[sequence];
+  }
+
+  // The network between the home and an executor.
+  size_t InFlightTo(int executor) const;
+  size_t InFlightFrom(int executor) const;
+  // Delivers message `index`; it stays in flight when `keep`.
+  void DeliverTo(int executor, size_t index, bool keep);
+  void DeliverFrom(int executor, size_t index, bool keep);
+  void LoseTo(int executor, size_t index);
+  void LoseFrom(int executor, size_t index);
+  // The connection breaks: what is in flight is lost.
+  void Cut(int executor);
+  // The connection stands again.
+  void Reconnect(int executor);
+
+  // The executor loses its memory and runs under a new incarnation. Its running
+  // tasks go on at the backend server.
+  void CrashExecutor(int executor);
+  // The home learns of the new incarnation.
+  void NoticeCrash(int executor);
+
+  // The backend server of an executor ends one of its running tasks.
+  size_t Running(int executor) const;
+  void EndTask(int executor, size_t index, TaskResult result);
+
+  void Announce(int executor);
+  void Advance(Millis duration);
+  // Delivers and ends everything until nothing moves, without faults.
+  void Settle();
+
+  // How often each payload was started, by anyone.
+  const std::map<std::string, int>& starts() const { return starts_; }
+
+ private:
+  struct Node {
+    Incarnation incarnation;
+    Incarnation known;  // What the home believes.
+    std::unique_ptr<Executor> core;
+    bool is_connected = true;
+    std::vector<HomeAction> to;  // SendGrants and SendAsk in flight.
+    std::vector<std::pair<Incarnation, GrantReplies>> from;
+    std::vector<StartTask> running;
+  };
+
+  static size_t Index(int i) { return static_cast<size_t>(i); }
+  Address AddressOf(int i) const;
+  MemberRecord RecordOf(int i) const;
+  void StartExecutor(int i);
+  void Pump();
+  void Route(HomeAction action);
+  void Route(int executor, ExecutorAction action);
+
+  Observer observer_;
+  Instant now_;
+  uint64_t next_incarnation_ = 100;
+  uint64_t next_request_ = 1;
+  Incarnation home_incarnation_{1};
+  std::unique_ptr<Home> home_;
+  std::vector<Node> executors_;
+  std::map<uint64_t, uint64_t> requests_;  // Request to sequence.
+  std::map<uint64_t, std::vector<JobAnswer>> answers_;
+  std::map<std::string, int> starts_;
+};
+
+// A job whose tasks have the payloads "prefix-0", "prefix-1" and so on.
+JobSpec MakeJob(const std::string& prefix, int tasks,
+                OnFailure on_failure = OnFailure::kFinish);
+
+}  // namespace qs::test
--- /dev/null
+++ b/tests/home_test.cc
@@ -0,0 +1,179 @@
+#include "core/home.h"
+
+#include <gtest/gtest.h>
+
+#include "core_harness.h"
+
+namespace qs::test {
+namespace {
+
+TEST(HomeTest, AnswersARepeatedSubmissionOnce) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 2));
+  h.Submit(id, MakeJob("a", 2));
+  h.Settle();
+  ASSERT_EQ(h.answers(id).size(), 2U);
+  EXPECT_EQ(h.answers(id)[0].state, JobState::kComplete);
+  EXPECT_EQ(h.answers(id)[1].results, h.answers(id)[0].results);
+  EXPECT_EQ(h.starts().at("a-0"), 1);
+}
+
+TEST(HomeTest, RefusesOtherContentUnderTheSameId) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 2));
+  h.Submit(id, MakeJob("b", 2));
+  ASSERT_EQ(h.answers(id).size(), 1U);
+  EXPECT_EQ(h.answers(id)[0].reason, Reason::kContentConflict);
+  h.Settle();
+  EXPECT_FALSE(h.starts().contains("b-0"));
+  EXPECT_EQ(h.answers(id)[1].state, JobState::kComplete);
+}
+
+TEST(HomeTest, RefusesAnIdThatItNeverMinted) {
+  CoreHarness h(1);
+  h.Submit(999, MakeJob("a", 1));
+  ASSERT_EQ(h.answers(999).size(), 1U);
+  EXPECT_EQ(h.answers(999)[0].reason, Reason::kIdNotMinted);
+  h.Settle();
+  EXPECT_TRUE(h.starts().empty());
+}
+
+TEST(HomeTest, ARefusalIsFinalForItsId) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  JobSpec job = MakeJob("a", 1);
+  job.service = "nobody offers this";
+  h.Submit(id, job);
+  ASSERT_EQ(h.answers(id).size(), 1U);
+  EXPECT_EQ(h.answers(id)[0].reason, Reason::kNoSuchService);
+  h.Submit(id, job);
+  ASSERT_EQ(h.answers(id).size(), 2U);
+  EXPECT_EQ(h.answers(id)[1].reason, Reason::kNoSuchService);
+}
+
+TEST(HomeTest, RefusesAConstraintThatNobodyMeets) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  JobSpec job = MakeJob("a", 1);
+  job.zone = "elsewhere";
+  h.Submit(id, job);
+  ASSERT_EQ(h.answers(id).size(), 1U);
+  EXPECT_EQ(h.answers(id)[0].reason, Reason::kConstraintUnmet);
+}
+
+TEST(HomeTest, ALostExecutorMakesItsTasksUnknown) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 1));
+  h.DeliverTo(0, 0, false);
+  ASSERT_EQ(h.Running(0), 1U);
+  h.CrashExecutor(0);
+  h.Reconnect(0);
+  ASSERT_EQ(h.answers(id).size(), 1U);
+  const JobAnswer& answer = h.answers(id)[0];
+  EXPECT_EQ(answer.state, JobState::kFailed);
+  EXPECT_EQ(answer.results[0].outcome, Outcome::kUnknown);
+  EXPECT_EQ(answer.results[0].reason, Reason::kExecutorLost);
+}
+
+TEST(HomeTest, RegrantsAGrantThatWasLost) {
+  CoreHarness h(2);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 1));
+  for (int i = 0; i < 2; ++i) {
+    while (h.InFlightTo(i) > 0) h.LoseTo(i, 0);
+  }
+  h.Settle();
+  ASSERT_EQ(h.answers(id).size(), 1U);
+  EXPECT_EQ(h.answers(id)[0].state, JobState::kComplete);
+  EXPECT_EQ(h.starts().at("a-0"), 1);
+}
+
+TEST(HomeTest, ALateNotRunOfAnEarlierAttemptDecidesNothing) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 1));
+  h.executor(0).SetDraining(true, h.now());
+  h.DeliverTo(0, 0, false);  // Refused; the reply is kept for a repetition.
+  ASSERT_EQ(h.InFlightFrom(0), 1U);
+  h.DeliverFrom(0, 0, true);
+  h.executor(0).SetDraining(false, h.now());
+  h.Advance(Millis(2000));
+  // The second attempt is under way when the old reply comes again.
+  while (h.InFlightTo(0) > 0) h.DeliverTo(0, 0, false);
+  h.DeliverFrom(0, 0, false);
+  h.Settle();
+  EXPECT_EQ(h.starts().at("a-0"), 1);
+}
+
+TEST(HomeTest, StopsAJobAtItsFirstFailure) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 50, OnFailure::kStop));
+  h.DeliverTo(0, 0, false);
+  ASSERT_EQ(h.Running(0), 2U);
+  h.EndTask(0, 0, {Outcome::kFailed, Reason::kBackendRejected, {}});
+  h.Settle();
+  ASSERT_EQ(h.answers(id).size(), 1U);
+  const JobAnswer& answer = h.answers(id)[0];
+  EXPECT_EQ(answer.state, JobState::kFailed);
+  EXPECT_EQ(answer.reason, Reason::kBackendRejected);
+  EXPECT_LT(h.starts().size(), 5U);
+  EXPECT_EQ(answer.results.back().reason, Reason::kJobStopped);
+}
+
+TEST(HomeTest, AnswersAtTheDeadlineWhateverHappens) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 10));
+  h.DeliverTo(0, 0, false);
+  h.Cut(0);
+  h.Advance(Millis(31'000));
+  ASSERT_EQ(h.answers(id).size(), 1U);
+  const JobAnswer& answer = h.answers(id)[0];
+  EXPECT_EQ(answer.state, JobState::kFailed);
+  EXPECT_EQ(answer.results[0].outcome, Outcome::kUnknown);
+  EXPECT_EQ(answer.results[9].outcome, Outcome::kNotRun);
+}
+
+TEST(HomeTest, RefusesWorkWhileStoppingAndEndsWhatItHas) {
+  CoreHarness h(1);
+  const uint64_t first = h.Mint();
+  const uint64_t second = h.Mint();
+  h.Submit(first, MakeJob("a", 2));
+  h.home().Stop();
+  h.Submit(second, MakeJob("b", 2));
+  h.Settle();
+  EXPECT_EQ(h.answers(first)[0].state, JobState::kComplete);
+  EXPECT_EQ(h.answers(second)[0].reason, Reason::kStopping);
+  EXPECT_GT(h.answers(second)[0].retry_after, Millis(0));
+}
+
+TEST(HomeTest, ACancelledIdRefusesItsJobForEver) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Cancel(id);
+  h.Submit(id, MakeJob("a", 1));
+  h.Settle();
+  EXPECT_TRUE(h.starts().empty());
+}
+
+TEST(HomeTest, RetiresAnswersAndNeverRunsTheirIdsAgain) {
+  CoreHarness h(1);
+  const uint64_t id = h.Mint();
+  h.Submit(id, MakeJob("a", 1));
+  h.Settle();
+  h.Advance(Millis(120'000));
+  h.Submit(id, MakeJob("a", 1));
+  EXPECT_EQ(h.answers(id).back().reason, Reason::kIdRetired);
+  h.Advance(Millis(1'200'000));
+  h.Submit(id, MakeJob("a", 1));
+  EXPECT_EQ(h.answers(id).back().reason, Reason::kIdRetired);
+  h.Settle();
+  EXPECT_EQ(h.starts().at("a-0"), 1);
+}
+
+}  // namespace
+}  // namespace qs::test
