--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -67,7 +67,12 @@
       on_members_(std::move(on_members)),
       membership_(OptionsFrom(kernel->settings), SelfRecord(*kernel, role),
                   static_cast<uint32_t>(kernel->incarnation.value)),
-      started_(Clock::now()) {}
+      started_(Clock::now()),
+      frames_sent_(&kernel->metrics.gauge("quetzalspindle_frames_sent",
+                                          "Frames sent to other processes.")),
+      bytes_sent_(
+          &kernel->metrics.gauge("quetzalspindle_frame_bytes_sent",
+                                 "Bytes of frames sent to other processes.")) {}
 
 Node::~Node() { Close(); }
 
@@ -109,6 +114,8 @@
       now - started_ >= kWarmRounds * kernel_->settings.gossip_interval;
   const bool was_warm = std::exchange(
       is_warm_, is_warm_ || (waited && (read_platform_ || heard_peer_)));
+  frames_sent_->Set(static_cast<double>(network_->sent_messages()));
+  bytes_sent_->Set(static_cast<double>(network_->sent_bytes()));
   if (changed || was_warm != is_warm_) on_members_();
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -8,6 +8,10 @@
 #include "core/membership.h"
 #include "net/peer_network.h"
 
+namespace prometheus {
+class Gauge;
+}
+
 namespace qs {
 
 struct Kernel;
@@ -56,6 +60,8 @@
   std::unique_ptr<PeerNetwork> network_;
   std::unique_ptr<PlatformAgent> platform_agent_;
   Instant started_;
+  prometheus::Gauge* frames_sent_;  // Set in each gossip round.
+  prometheus::Gauge* bytes_sent_;
   bool heard_peer_ = false;
   bool read_platform_ = false;
   bool is_warm_ = false;
--- a/tests/lib/cluster.cc
+++ b/tests/lib/cluster.cc
@@ -130,13 +130,12 @@
 }
 
 void Cluster::StartBackend(int i) {
-  std::vector<std::string> command = {ProgramPath("fake_backend"),
-                                      "--listen",
-                                      backend_http(i).ToString(),
-                                      "--guard",
-                                      guard_http(i).ToString(),
-                                      "--start-log",
-                                      StartLog(i)};
+  std::vector<std::string> command = {ProgramPath("fake_backend"), "--listen",
+                                      backend_http(i).ToString(), "--guard",
+                                      guard_http(i).ToString()};
+  if (options_.keep_start_logs) {
+    command.insert(command.end(), {"--start-log", StartLog(i)});
+  }
   command.insert(command.end(), options_.backend_arguments.begin(),
                  options_.backend_arguments.end());
   backends_[static_cast<size_t>(i)] = Process::Start(
@@ -207,16 +206,32 @@
   return all;
 }
 
+double Cluster::Counter(Address server, const std::string& name,
+                        const std::string& label) {
+  double sum = 0;
+  std::istringstream lines(Call(server, "GET", "/metrics").body);
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with(name)) continue;
+    if (line.find(label) == std::string::npos) continue;
+    sum += std::atof(line.c_str() + line.rfind(' '));
+  }
+  return sum;
+}
+
 double Cluster::GuardCounter(const std::string& name,
                              const std::string& label) const {
   double sum = 0;
   for (int i = 0; i < options_.guards; ++i) {
-    std::istringstream lines(Call(guard_http(i), "GET", "/metrics").body);
-    for (std::string line; std::getline(lines, line);) {
-      if (!line.starts_with(name)) continue;
-      if (line.find(label) == std::string::npos) continue;
-      sum += std::atof(line.c_str() + line.rfind(' '));
-    }
+    sum += Counter(guard_http(i), name, label);
+  }
+  return sum;
+}
+
+double Cluster::EntryCounter(const std::string& name,
+                             const std::string& label) const {
+  double sum = 0;
+  for (int i = 0; i < options_.entries; ++i) {
+    sum += Counter(entry_http(i), name, label);
   }
   return sum;
 }
--- a/tests/lib/cluster.h
+++ b/tests/lib/cluster.h
@@ -24,6 +24,7 @@
   std::map<std::string, std::string> guard_settings;
   std::map<std::string, std::string> entry_settings;
   std::vector<std::string> backend_arguments;
+  bool keep_start_logs = true;
 };
 
 // Processes of the system with their stand-ins, each host with a loopback
@@ -77,6 +78,7 @@
   // The sum of a counter over the guards' /metrics, for lines that contain
   // `label`.
   double GuardCounter(const std::string& name, const std::string& label) const;
+  double EntryCounter(const std::string& name, const std::string& label) const;
 
  private:
   static constexpr uint16_t kPeerPort = 7000;
@@ -87,6 +89,8 @@
   std::string WriteSettings(const std::string& role, int number,
                             const std::string& zone) const;
   std::string StartLog(int i) const;
+  static double Counter(Address server, const std::string& name,
+                        const std::string& label);
 
   ClusterOptions options_;
   uint32_t network_ = 0;
