--- a/src/core/home.cc
+++ b/src/core/home.cc
@@ -269,6 +269,7 @@
   executor.zone = record.zone;
   executor.worker_kind = record.worker_kind;
   executor.services = record.services;
+  if (executor.is_live && !is_live) executor.silent_since = now;
   executor.is_live = is_live;
   if (now - executor.load_heard > kReplyLoadLifetime) {
     executor.load = record.load;
@@ -643,8 +644,11 @@
 void Home::CheckExecutors(Instant now) {
   std::vector<Incarnation> lost;
   for (auto& [incarnation, executor] : executors_) {
-    if (!executor.is_connected) {
-      const bool is_overdue = now - executor.cut_off_at >= options_.lost_after;
+    if (!executor.is_connected || !executor.is_live) {
+      // A paused process keeps its connections but sends no gossip.
+      const Instant since = executor.is_connected ? executor.silent_since
+                                                  : executor.cut_off_at;
+      const bool is_overdue = now - since >= options_.lost_after;
       if (is_overdue && !executor.open.empty()) lost.push_back(incarnation);
       continue;
     }
--- a/src/core/home.h
+++ b/src/core/home.h
@@ -174,6 +174,7 @@
     bool is_connected = false;
     bool is_live = false;
     Instant cut_off_at;
+    Instant silent_since;  // When it stopped being live.
     Instant load_heard;     // In a reply of its own.
     Instant refused_until;  // No grants before, after refusals in a row.
     Millis refusal_pause{0};
--- a/tools/bench.cc
+++ b/tools/bench.cc
@@ -109,10 +109,10 @@
 int main(int argc, char** argv) {
   CLI::App app{"qsbench: speed of the demo's processes on this machine"};
   int guards = 11;
-  int queue_per_slot = 1;
+  int queue_per_slot = 0;
   int big_jobs = 4000;
   int threads = 64;
-  std::string placement = "least_loaded";
+  std::string placement = "zone_first";
   bool only_big = false;
   app.add_option("--guards", guards);
   app.add_option("--queue-per-slot", queue_per_slot);
