--- /dev/null
+++ b/tests/bad_input_test.cc
@@ -0,0 +1,149 @@
+// What broken and hostile peers and callers get from real processes: an error,
+// while other requests go on untouched.
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "lib/cluster.h"
+#include "quetzalspindle/ids.h"
+
+namespace qs::test {
+namespace {
+
+using nlohmann::json;
+
+// A plain TCP connection, for what no well-behaved client sends.
+class RawConnection {
+ public:
+  explicit RawConnection(Address address)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(address.ip);
+    name.sin_port = htons(address.port);
+    connected_ =
+        connect(fd_, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+  }
+  ~RawConnection() { close(fd_); }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  bool connected() const { return connected_; }
+  void Send(const std::string& bytes) const {
+    (void)!send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  // Everything up to the peer's close.
+  std::string ReadAll() const {
+    std::string all;
+    std::array<char, 4096> buffer{};
+    ssize_t count = 0;
+    while ((count = recv(fd_, buffer.data(), buffer.size(), 0)) > 0) {
+      all.append(buffer.data(), static_cast<size_t>(count));
+    }
+    return all;
+  }
+
+ private:
+  int fd_;
+  bool connected_ = false;
+};
+
+class BadInputTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    ClusterOptions options;
+    options.entry_settings["entry"] = "max_body_bytes = 100000\nthreads = 8\n";
+    cluster_ = std::make_unique<Cluster>(options);
+    ASSERT_TRUE(cluster_->WaitReady());
+  }
+
+  void ExpectStillServing() {
+    const json answer =
+        cluster_->Ask(0, "POST", "/v1/run", JobBody("ok", 2, 1));
+    EXPECT_EQ(answer.value("state", ""), "complete") << answer;
+    EXPECT_TRUE(cluster_->entry(0).running());
+    EXPECT_TRUE(cluster_->guard(0).running());
+  }
+
+  std::unique_ptr<Cluster> cluster_;
+};
+
+TEST_F(BadInputTest, CallersGetOneProblemDocument) {
+  struct Case {
+    const char* method;
+    const char* target;
+    std::string body;
+    int status;
+    const char* reason;
+  };
+  const std::string id = cluster_->Mint(0);
+  std::string mistyped = id;
+  mistyped[5] = mistyped[5] == '0' ? '1' : '0';
+  const std::string foreign = SubmissionId{{0x7F000001, 9}, {77}, 1}.ToString();
+  const std::string put = "/v1/submissions/" + id;
+  const std::string put_mistyped = "/v1/submissions/" + mistyped;
+  const std::string put_foreign = "/v1/submissions/" + foreign;
+  const std::string put_wait = put + "?wait=soon";
+  const std::vector<Case> cases = {
+      {"POST", "/v1/run", "{", 400, "malformed_request"},
+      {"POST", "/v1/run", "[]", 400, "malformed_request"},
+      {"POST", "/v1/run", JobBody("x", 1, 1, false), 400,
+       "one_shot_not_repeatable"},
+      {"POST", "/v1/run", std::string(200'000, 'x'), 413, "body_too_large"},
+      {"PUT", put_wait.c_str(), "{}", 400, "malformed_request"},
+      {"PUT", put_mistyped.c_str(), JobBody("x", 1, 1), 400, "id_malformed"},
+      {"PUT", put_foreign.c_str(), JobBody("x", 1, 1), 410, "home_lost"},
+      {"GET", put.c_str(), "", 404, "not_handed_in"},
+      {"GET", "/v2/anything", "", 404, "not_found"},
+      {"PATCH", "/v1/run", "{}", 404, "not_found"},
+      {"POST", "/v1/admin/drain/nowhere", "", 400, "malformed_request"},
+  };
+  for (const Case& c : cases) {
+    SCOPED_TRACE(std::string(c.method) + " " + c.target);
+    const auto response =
+        Cluster::Call(cluster_->entry_http(0), c.method, c.target, c.body);
+    EXPECT_EQ(response.status, c.status) << response.body;
+    const json document = json::parse(response.body, nullptr, false);
+    ASSERT_TRUE(document.is_object()) << response.body;
+    EXPECT_EQ(document.value("reason", ""), c.reason) << document;
+  }
+  ExpectStillServing();
+  EXPECT_FALSE(cluster_->Starts().contains("x-0"));
+}
+
+TEST_F(BadInputTest, AnnouncementsAreChecked) {
+  const auto response =
+      Cluster::Call(cluster_->guard_http(0), "POST", "/v1/announce",
+                    R"({"address":"x","services":[],"slots":0,"more":1})");
+  EXPECT_EQ(response.status, 400);
+  const json document = json::parse(response.body);
+  EXPECT_GE(document["findings"].size(), 4U) << document;
+  ExpectStillServing();
+}
+
+TEST_F(BadInputTest, GarbageFramesCloseTheirOwnConnectionOnly) {
+  const std::string huge("\xff\xff\xff\xff", 4);
+  const std::string noise = std::string("\x08\0\0\0", 4) + "garbage!";
+  for (const std::string& bytes : {huge, noise, std::string(4, '\0')}) {
+    const RawConnection connection(cluster_->guard_peer(0));
+    ASSERT_TRUE(connection.connected());
+    connection.Send(bytes);
+    EXPECT_EQ(connection.ReadAll(), "");  // Closed by the guard.
+  }
+  ExpectStillServing();
+}
+
+TEST_F(BadInputTest, SlowAndHalfClosedConnectionsHoldUpNobody) {
+  std::vector<std::unique_ptr<RawConnection>> slow;
+  for (int i = 0; i < 4; ++i) {
+    slow.push_back(std::make_unique<RawConnection>(cluster_->entry_http(0)));
+    slow.back()->Send("POST /v1/run HTTP/1.1\r\nContent-Length: 500\r\n\r\n{");
+  }
+  slow.push_back(std::make_unique<RawConnection>(cluster_->guard_peer(0)));
+  ExpectStillServing();
+}
+
+}  // namespace
+}  // namespace qs::test
--- /dev/null
+++ b/tests/fuzz/readers.cc
@@ -0,0 +1,119 @@
+#include "fuzz/readers.h"
+
+#include <cstdlib>
+#include <span>
+
+#include "ctl/row_filter.h"
+#include "http/announcement_json.h"
+#include "http/job_json.h"
+#include "quetzalspindle/ids.h"
+#include "settings/settings.h"
+#include "wire/codec.h"
+
+namespace qs::test {
+namespace {
+
+std::string ToText(const uint8_t* data, size_t size) {
+  return {reinterpret_cast<const char*>(data), size};
+}
+
+// Ends the process, so that a fuzzer reports the input.
+void Require(bool condition) {
+  if (!condition) std::abort();
+}
+
+void ReadFrame(const uint8_t* data, size_t size) {
+  const Result<Message> message = DecodeBody({data, size});
+  if (!message) return;
+  // What was accepted survives a way through the codec.
+  const std::string frame = EncodeFrame(*message);
+  const auto* bytes = reinterpret_cast<const uint8_t*>(frame.data());
+  const Result<Message> again =
+      DecodeBody({bytes + kFrameHeaderBytes, frame.size() - kFrameHeaderBytes});
+  Require(again.has_value() && again->index() == message->index());
+}
+
+void ReadJob(const uint8_t* data, size_t size) {
+  const Checked<JobSpec> job = ParseJob(ToText(data, size));
+  if (!job) {
+    Require(!job.error().empty());
+    return;
+  }
+  Require(!job->payloads.empty() && job->payloads.size() <= kMaxTasksPerJob);
+}
+
+void ReadAnnouncement(const uint8_t* data, size_t size) {
+  const Checked<Announcement> read = ParseAnnouncement(ToText(data, size));
+  Require(read ? read->slots > 0 : !read.error().empty());
+}
+
+void ReadSettings(const uint8_t* data, size_t size) {
+  const Checked<Settings> read = ParseSettings("f", ToText(data, size));
+  Require(read || !read.error().empty());
+}
+
+void ReadId(const uint8_t* data, size_t size) {
+  const std::string text = ToText(data, size);
+  const Result<SubmissionId> id = SubmissionId::Parse(text);
+  if (id) Require(SubmissionId::Parse(id->ToString()) == id);
+}
+
+void ReadFilter(const uint8_t* data, size_t size) {
+  const Checked<RowFilter> filter = RowFilter::Parse({ToText(data, size)});
+  Require(filter || !filter.error().empty());
+}
+
+void ReadBase64(const uint8_t* data, size_t size) {
+  const std::string bytes = ToText(data, size);
+  Require(DecodeBase64(EncodeBase64(bytes)) == bytes);
+  (void)DecodeBase64(bytes);
+}
+
+std::string FrameBody(const Message& message) {
+  return EncodeFrame(message).substr(kFrameHeaderBytes);
+}
+
+std::vector<std::string> FrameCorpus() {
+  JobSpec job;
+  job.team = "club";
+  job.service = "sketch";
+  job.payloads = {"a", "b"};
+  MemberRecord member;
+  member.services = {"sketch"};
+  JobAnswer answer;
+  answer.results = {{Outcome::kDone, Reason::kNone, "x"}};
+  return {FrameBody(Hello{}),
+          FrameBody(MintRequest{1, 2}),
+          FrameBody(SubmitRequest{1, 2, Millis(3), job}),
+          FrameBody(JobReply{1, answer}),
+          FrameBody(GrantBatch{1, {2}, {{3, Millis(4), "s", "p"}}}),
+          FrameBody(AskBatch{1, {2}, true, {3, 4}}),
+          FrameBody(GrantReplies{{}, {{1, GrantPhase::kEnded, {}}}}),
+          FrameBody(Gossip{true, {member}}),
+          FrameBody(AdminRequest{1, "jobs", ""})};
+}
+
+}  // namespace
+
+const std::vector<Reader>& Readers() {
+  static const std::vector<Reader> readers = {
+      {"frame", &ReadFrame, FrameCorpus()},
+      {"job",
+       &ReadJob,
+       {R"({"team":"club","service":"s","tasks":["a",{"base64":"AA=="}],)"
+        R"("deadline_ms":5,"repeatable":true,"on_failure":"finish"})"}},
+      {"announcement",
+       &ReadAnnouncement,
+       {R"({"address":"1.2.3.4:5","services":["s"],"slots":8})"}},
+      {"settings",
+       &ReadSettings,
+       {"[process]\nrole = guard\nlisten = 1.2.3.4:5\nhttp = 1.2.3.4:6\n"
+        "zone = a\n[guard]\nmax_jobs = 3\n"}},
+      {"id", &ReadId, {SubmissionId{{1, 2}, {3}, 4}.ToString()}},
+      {"filter", &ReadFilter, {"state=failed", "age_ms>10", "team!=club"}},
+      {"base64", &ReadBase64, {"QUJD", "QQ=="}},
+  };
+  return readers;
+}
+
+}  // namespace qs::test
