Put the operators' configuration in force everywhere, by versions that rise

Cause: teams, limits and drains had no place, and nothing held a drain over a restart. Declarations are an INI text; qsctl check, diff and apply put them into one key by compare-and-swap; entries watch it; versions pass between processes with gossip and are pushed on when they come into force.

Found while writing: a change that was accepted with its reply lost, and then followed by another operator's change, was told as lost. The stored document now carries the ids of the 64 changes before it.

--- a/include/quetzalspindle/reason.h
+++ b/include/quetzalspindle/reason.h
@@ -32,6 +32,8 @@
   kContentConflict = 7,
   kNotFound = 8,
   kUnknownTeam = 9,
+  kDeadlineTooLong = 10,
+  kOverQuotaForGood = 11,
   // Refused: try later.
   kNoGuardAvailable = 20,
   kHomeOverloaded = 21,
--- a/src/core/home.cc
+++ b/src/core/home.cc
@@ -91,6 +91,11 @@
 
 Reason Home::AdmissionRefusal(const JobSpec& job) const {
   if (stopping_) return Reason::kStopping;
+  if (options_.needs_configuration && !is_configured_) {
+    return Reason::kNoConfiguration;
+  }
+  const Reason declared = DeclaredRefusal(job);
+  if (declared != Reason::kNone) return declared;
   const Reason refusal = PlacementRefusal(DemandOf(job));
   if (refusal != Reason::kNone) return refusal;
   if (running_jobs_ >= options_.max_jobs ||
@@ -100,6 +105,34 @@
   return Reason::kNone;
 }
 
+void Home::SetDeclarations(Declarations declarations) {
+  declarations_ = std::move(declarations);
+  is_configured_ = true;
+}
+
+// What the operators' declarations say against a job.
+Reason Home::DeclaredRefusal(const JobSpec& job) const {
+  const size_t tasks = job.payloads.size();
+  const auto service = declarations_.services.find(job.service);
+  if (service != declarations_.services.end()) {
+    const ServiceDeclaration& limits = service->second;
+    const bool has_too_many =
+        limits.max_tasks_per_job > 0 && tasks > limits.max_tasks_per_job;
+    if (has_too_many) return Reason::kTooManyTasks;
+    const bool is_too_long =
+        limits.max_deadline > Millis(0) && job.deadline > limits.max_deadline;
+    if (is_too_long) return Reason::kDeadlineTooLong;
+  }
+  if (declarations_.teams.empty()) return Reason::kNone;
+  const auto team = declarations_.teams.find(job.team);
+  if (team == declarations_.teams.end()) return Reason::kUnknownTeam;
+  const uint32_t quota = team->second.max_open_tasks;
+  if (tasks > quota) return Reason::kOverQuotaForGood;
+  const auto open = open_tasks_.find(job.team);
+  const size_t held = open == open_tasks_.end() ? 0 : open->second;
+  return held + tasks > quota ? Reason::kTeamQuota : Reason::kNone;
+}
+
 // Tells a demand that nobody can meet from one that somebody may meet again.
 Reason Home::PlacementRefusal(const Demand& demand) const {
   for (const auto& [incarnation, executor] : executors_) {
@@ -145,6 +178,7 @@
   deadlines_.insert({job.deadline, sequence});
   ++running_jobs_;
   waiting_ += job.tasks.size();
+  open_tasks_[job.spec.team] += job.tasks.size();
   Backlog& backlog = backlogs_[DemandOf(job.spec)];
   for (uint32_t task = 0; task < job.tasks.size(); ++task) {
     backlog.Push(job.spec.team, {sequence, task});
@@ -522,6 +556,9 @@
   task.phase = Phase::kEnded;
   task.result = std::move(result);
   --job->open;
+  const auto team = open_tasks_.find(job->spec.team);
+  assert(team != open_tasks_.end() && team->second > 0);
+  if (--team->second == 0) open_tasks_.erase(team);
   observer_->TaskEnded(task.result.outcome, task.result.reason);
   const bool succeeded = task.result.outcome == Outcome::kDone;
   if (!succeeded && job->reason == Reason::kNone) {
@@ -646,8 +683,8 @@
   for (auto& [incarnation, executor] : executors_) {
     if (!executor.is_connected || !executor.is_live) {
       // A paused process keeps its connections but sends no gossip.
-      const Instant since = executor.is_connected ? executor.silent_since
-                                                  : executor.cut_off_at;
+      const Instant since =
+          executor.is_connected ? executor.silent_since : executor.cut_off_at;
       const bool is_overdue = now - since >= options_.lost_after;
       if (is_overdue && !executor.open.empty()) lost.push_back(incarnation);
       continue;
--- a/src/core/home.h
+++ b/src/core/home.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/backlog.h"
+#include "core/declarations.h"
 #include "core/minter.h"
 #include "core/placement_policy.h"
 #include "quetzalspindle/ids.h"
@@ -35,6 +36,7 @@
   Millis lost_after{5000};   // A cut-off executor's grants become unknown.
   Millis ask_after{5000};    // An unanswered grant is asked for.
   Millis retry_after{1000};  // Told to callers with a refusal.
+  bool needs_configuration = false;  // Refuses jobs until one is known.
   Millis offer_memory{600'000};  // A vanished service counts as coming back.
 };
 
@@ -114,6 +116,8 @@
   void OnExecutorGone(Incarnation executor, Instant now);
   void OnReplies(Incarnation executor, GrantReplies replies, Instant now);
 
+  // Puts the operators' declarations in force, for jobs from now on.
+  void SetDeclarations(Declarations declarations);
   // The members were read at least once, so an absent service is a fact.
   void SetWarm() { is_warm_ = true; }
   // Takes no new submissions; those accepted run on.
@@ -174,7 +178,7 @@
     bool is_connected = false;
     bool is_live = false;
     Instant cut_off_at;
-    Instant silent_since;  // When it stopped being live.
+    Instant silent_since;   // When it stopped being live.
     Instant load_heard;     // In a reply of its own.
     Instant refused_until;  // No grants before, after refusals in a row.
     Millis refusal_pause{0};
@@ -194,6 +198,7 @@
        Observer* observer, uint32_t seed);
 
   Reason AdmissionRefusal(const JobSpec& job) const;
+  Reason DeclaredRefusal(const JobSpec& job) const;
   Reason PlacementRefusal(const Demand& demand) const;
   static bool Meets(const Executor& executor, const Demand& demand);
   static bool Meets(const Demand& offer, const Demand& demand);
@@ -242,6 +247,9 @@
   PlacementPolicy::Random random_;
   Minter minter_;
   bool is_warm_ = false;
+  bool is_configured_ = false;
+  Declarations declarations_;
+  std::map<std::string, size_t> open_tasks_;  // Of each team.
   bool stopping_ = false;
   GrantNumber next_grant_ = 1;
   size_t waiting_ = 0;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -16,11 +16,9 @@
 }
 
 void Membership::UpdateSelf(const Load& load,
-                            const std::vector<std::string>& services,
-                            uint64_t config_version) {
+                            const std::vector<std::string>& services) {
   self_.load = load;
   self_.services = services;
-  self_.config_version = config_version;
 }
 
 Gossip Membership::OnGossip(const Gossip& gossip, Instant now, bool* changed) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -40,9 +40,9 @@
 
   // An address to try, of which nothing else is known yet.
   void AddSeed(Address address);
-  // Replaces load, services and configuration version of the own record.
-  void UpdateSelf(const Load& load, const std::vector<std::string>& services,
-                  uint64_t config_version);
+  // Replaces load and services of the own record.
+  void UpdateSelf(const Load& load, const std::vector<std::string>& services);
+  void SetConfigVersion(uint64_t version) { self_.config_version = version; }
   // Returns the records to send back when the sender wants them. Sets
   // `*changed` when a member was new or changed its incarnation.
   Gossip OnGossip(const Gossip& gossip, Instant now, bool* changed);
@@ -50,13 +50,14 @@
   void OnIncarnation(Address address, Incarnation incarnation, Instant now);
   // One round: raises the own version and chooses whom to tell.
   std::vector<SendGossip> OnRound(Instant now);
+  // Some live members at random, and one that is silent, if any.
+  std::vector<Address> ChooseTargets();
   // Re-judges who is live. Returns whether that changed for any member.
   bool OnTimer(Instant now);
 
  private:
   Gossip MakeGossip(bool want_reply) const;
   bool Merge(const MemberRecord& record, Instant now);
-  std::vector<Address> ChooseTargets();
 
   MembershipOptions options_;
   MemberRecord self_;
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -2,13 +2,19 @@
 
 #include <CLI/CLI.hpp>
 #include <cstdlib>
+#include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <map>
+#include <random>
+#include <sstream>
+#include <thread>
 
 #include "base/version.h"
 #include "ctl/row_filter.h"
 #include "ctl/table.h"
 #include "http/http_client.h"
+#include "settings/declarations_text.h"
 
 namespace {
 
@@ -20,6 +26,8 @@
 constexpr int kExitUnreachable = 3;
 constexpr int kExitIncomplete = 4;  // Some processes did not answer.
 constexpr qs::Millis kTimeout{20'000};
+constexpr qs::Millis kInForceTimeout{20'000};
+constexpr qs::Millis kInForcePoll{50};
 
 struct Options {
   std::string entry;
@@ -27,6 +35,9 @@
   std::string what;
   std::string target;
   std::vector<std::string> conditions;
+  std::string author;
+  std::string change_id;
+  uint64_t base_version = 0;
 };
 
 // What `show` can list: where it comes from and the columns people see.
@@ -51,6 +62,7 @@
        {"/v1/admin/backends",
         {"backend", "guard", "zone", "services", "state", "slots", "running",
          "queued"}}},
+      {"config", {"/v1/admin/config", {"section", "key", "value"}}},
       {"refusals",
        {"/v1/admin/refusals", {"process", "kind", "reason", "count"}}},
   };
@@ -60,7 +72,8 @@
 // One request to the entry. Prints the problem and returns an exit code other
 // than kExitOk when there is no document.
 int Request(const Options& options, const std::string& method,
-            const std::string& target, json* document) {
+            const std::string& target, json* document,
+            const std::string& body = "") {
   const auto entry = qs::Address::Parse(options.entry);
   if (!entry) {
     std::cerr << "--entry: must be IP:port\n";
@@ -71,6 +84,7 @@
   request.method = method;
   request.target = target;
   request.timeout = kTimeout;
+  request.body = body;
   const auto response = client.Exchange(request);
   if (!response) {
     std::cerr << options.entry << ": no response\n";
@@ -78,6 +92,9 @@
   }
   *document = json::parse(response->body, nullptr, false);
   if (response->status < 300 && document->is_object()) return kExitOk;
+  if (document->is_object() && document->contains("state")) {
+    return kExitRefused;
+  }
   if (document->is_object()) {
     std::cerr << document->value("reason", "") << ": "
               << document->value("title", "") << "\n";
@@ -141,6 +158,147 @@
                Views().at("backends").columns);
 }
 
+// Reads and checks a file of declarations; prints every fault.
+bool ReadDeclarations(const std::string& path, std::string* text,
+                      qs::Declarations* declarations) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream content;
+  content << file.rdbuf();
+  if (!file.good()) {
+    std::cerr << path << ": cannot be read\n";
+    return false;
+  }
+  *text = content.str();
+  auto parsed = qs::ParseDeclarations(path, *text);
+  if (!parsed) {
+    std::cerr << parsed.error().ToText();
+    return false;
+  }
+  *declarations = std::move(*parsed);
+  return true;
+}
+
+int Check(const Options& options) {
+  std::string text;
+  qs::Declarations declarations;
+  if (!ReadDeclarations(options.target, &text, &declarations)) {
+    return kExitUsage;
+  }
+  std::cout << options.target << ": ok\n";
+  return kExitOk;
+}
+
+// The declarations in force; empty when they cannot be read.
+qs::Declarations InForce(const json& config) {
+  const auto parsed =
+      qs::ParseDeclarations("in force", config.value("document", ""));
+  return parsed ? *parsed : qs::Declarations{};
+}
+
+void PrintDiff(const qs::Declarations& from, const qs::Declarations& to) {
+  for (const std::string& line : qs::DiffDeclarations(from, to)) {
+    std::cout << line << "\n";
+  }
+}
+
+int Diff(const Options& options) {
+  std::string text;
+  qs::Declarations declarations;
+  if (!ReadDeclarations(options.target, &text, &declarations)) {
+    return kExitUsage;
+  }
+  json config;
+  const int code = Request(options, "GET", "/v1/admin/config", &config);
+  if (code != kExitOk) return code;
+  PrintDiff(InForce(config), declarations);
+  return kExitOk;
+}
+
+// Waits until every live process has the version in force. Names those that
+// have not.
+int WaitInForce(const Options& options, uint64_t version) {
+  const qs::Instant start = qs::Clock::now();
+  std::vector<std::string> behind;
+  do {
+    json members;
+    const int code = Request(options, "GET", "/v1/admin/members", &members);
+    if (code != kExitOk) return code;
+    behind.clear();
+    for (const json& row : members.value("rows", json::array())) {
+      const bool is_behind = row.value("live", false) &&
+                             row.value("config_version", uint64_t{0}) < version;
+      if (is_behind) behind.push_back(row.value("address", ""));
+    }
+    if (behind.empty()) {
+      const auto took =
+          std::chrono::duration_cast<qs::Millis>(qs::Clock::now() - start);
+      std::cout << "version " << version << " is in force everywhere, "
+                << took.count() << " ms after it was accepted\n";
+      return kExitOk;
+    }
+    std::this_thread::sleep_for(kInForcePoll);
+  } while (qs::Clock::now() - start < kInForceTimeout);
+  for (const std::string& address : behind) {
+    std::cerr << "not in force at " << address << "\n";
+  }
+  return kExitIncomplete;
+}
+
+std::string NewChangeId() {
+  std::random_device device;
+  std::ostringstream id;
+  for (int i = 0; i < 4; ++i) {
+    id << std::hex << std::setw(8) << std::setfill('0') << device();
+  }
+  return id.str();
+}
+
+int ReportApply(const Options& options, const std::string& change_id,
+                const qs::Declarations& wanted, const json& answer) {
+  const std::string state = answer.value("state", "");
+  const json current = answer.value("current", json::object());
+  if (state == "accepted") {
+    return WaitInForce(options, current.value("version", uint64_t{0}));
+  }
+  if (state == "lost_race") {
+    std::cerr << "refused: version " << current.value("version", uint64_t{0})
+              << " by " << current.value("author", "") << " (change "
+              << current.value("change_id", "")
+              << ") came first; from it to this file:\n";
+    PrintDiff(InForce(current), wanted);
+    return kExitRefused;
+  }
+  std::cerr << "unknown whether the change was accepted; repeat it with "
+               "--change-id "
+            << change_id << "\n";
+  return kExitUnreachable;
+}
+
+int Apply(const Options& options) {
+  std::string text;
+  qs::Declarations declarations;
+  if (!ReadDeclarations(options.target, &text, &declarations)) {
+    return kExitUsage;
+  }
+  json config;
+  const int code = Request(options, "GET", "/v1/admin/config", &config);
+  if (code != kExitOk) return code;
+  const std::string change_id =
+      options.change_id.empty() ? NewChangeId() : options.change_id;
+  const uint64_t base = options.base_version > 0
+                            ? options.base_version
+                            : config.value("version", uint64_t{0});
+  const json body = {{"change_id", change_id},
+                     {"author", options.author},
+                     {"base_version", base},
+                     {"document", text}};
+  json answer;
+  const int applied =
+      Request(options, "POST", "/v1/admin/config", &answer, body.dump());
+  if (!answer.contains("state")) return applied;
+  return ReportApply(options, change_id, declarations, answer);
+}
+
 int Cancel(const Options& options) {
   json document;
   const int code =
@@ -170,8 +328,7 @@
   app.set_version_flag("--version", qs::kVersion);
   app.require_subcommand(1);
   app.add_option("--entry", options.entry, "HTTP IP:port of an entry host")
-      ->envname("QSCTL_ENTRY")
-      ->required();
+      ->envname("QSCTL_ENTRY");
   app.add_flag("--json", options.as_json, "print JSON for scripts");
   auto* show = app.add_subcommand(
       "show", "list rows; conditions are column=value, !=, > and <");
@@ -190,12 +347,28 @@
       ->required();
   auto* cancel = app.add_subcommand("cancel", "cancel a submission");
   cancel->add_option("id", options.target)->required();
+  auto* check = app.add_subcommand("check", "check a file of declarations");
+  check->add_option("file", options.target)->required();
+  auto* diff = app.add_subcommand(
+      "diff", "show what applying a file of declarations would change");
+  diff->add_option("file", options.target)->required();
+  auto* apply = app.add_subcommand(
+      "apply", "put a file of declarations in force, and wait until it is");
+  apply->add_option("file", options.target)->required();
+  apply->add_option("--author", options.author)->envname("USER")->required();
+  apply->add_option("--change-id", options.change_id,
+                    "of an earlier try whose outcome is unknown");
+  apply->add_option("--base-version", options.base_version,
+                    "the version that the file was edited from");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? kExitOk : kExitUsage;
   }
   if (show->parsed()) return Show(options);
+  if (check->parsed()) return Check(options);
+  if (diff->parsed()) return Diff(options);
+  if (apply->parsed()) return Apply(options);
   if (drain->parsed()) return Command(options, "drain");
   if (undrain->parsed()) return Command(options, "undrain");
   return Cancel(options);
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -10,6 +10,7 @@
 #include "daemon/operator_api.h"
 #include "daemon/process_routes.h"
 #include "http/job_json.h"
+#include "platform/etcd_store.h"
 
 namespace qs {
 namespace {
@@ -49,19 +50,24 @@
 EntryRole::EntryRole(Kernel* kernel)
     : kernel_(kernel),
       view_(std::make_unique<GuardView>()),
+      config_(std::make_unique<ConfigView>()),
       calls_(&kernel->io, kernel->settings.home_lost_after),
       ids_(&calls_, &view_, kernel->settings.id_block) {}
 
 EntryRole::~EntryRole() { OnFinish(); }
 
 std::error_code EntryRole::OnStart() {
-  auto node = Node::Make(kernel_, Role::kEntry, this, [this] { OnMembers(); });
+  auto node = Node::Make(
+      kernel_, Role::kEntry, this, [this] { OnMembers(); },
+      [this] { OnConfig(); });
   if (!node) return node.error();
   node_ = std::move(*node);
   calls_.SetNetwork(&node_->network());
   kernel_->timers.Subscribe(kCallTick,
                             [this](Instant now) { calls_.OnTimer(now); });
   operators_ = std::make_unique<OperatorApi>(kernel_, &calls_, &view_);
+  config_api_ = std::make_unique<ConfigApi>(kernel_, &config_);
+  StartConfigAgent();
   return StartHttp();
 }
 
@@ -75,6 +81,7 @@
 }
 
 void EntryRole::OnFinish() {
+  config_agent_.reset();
   if (http_) http_->Stop();
   if (node_) node_->Close();
 }
@@ -116,6 +123,25 @@
   view_.Replace(std::move(view));
 }
 
+void EntryRole::OnConfig() {
+  auto view = std::make_unique<ConfigView>();
+  view->version = node_->configuration().version();
+  view->document = node_->configuration().document();
+  config_.Replace(std::move(view));
+}
+
+void EntryRole::StartConfigAgent() {
+  const Settings& settings = kernel_->settings;
+  if (settings.platform_endpoint.empty()) return;
+  config_agent_ = ConfigAgent::Make(
+      EtcdStore::Make(settings.platform_endpoint, settings.platform_timeout),
+      [this](StoredConfig config) {
+        asio::post(kernel_->io, [this, c = std::move(config)] {
+          node_->OfferConfig(c.version, c.document);
+        });
+      });
+}
+
 std::error_code EntryRole::StartHttp() {
   using Method = HttpResponse (EntryRole::*)(const HttpRequest&);
   struct Row {
@@ -142,6 +168,7 @@
                       }});
   }
   operators_->AddRoutes(&routes);
+  config_api_->AddRoutes(&routes);
   HttpServerOptions options = ProcessHttpOptions();
   options.address = kernel_->settings.http;
   options.threads = kernel_->settings.entry_threads;
--- a/src/daemon/entry_role.h
+++ b/src/daemon/entry_role.h
@@ -6,6 +6,8 @@
 
 #include "base/rcu_cell.h"
 #include "daemon/call_table.h"
+#include "daemon/config_agent.h"
+#include "daemon/config_api.h"
 #include "daemon/guard_view.h"
 #include "daemon/id_pool.h"
 #include "http/http_server.h"
@@ -43,6 +45,8 @@
   void OnSessionDown(uint64_t session, const Hello& hello) override;
 
   void OnMembers();
+  void OnConfig();
+  void StartConfigAgent();
   std::error_code StartHttp();
 
   // Caller interface; on HTTP threads.
@@ -59,10 +63,13 @@
 
   Kernel* kernel_;
   RcuCell<GuardView> view_;
+  RcuCell<ConfigView> config_;
   CallTable calls_;
   IdPool ids_;
   std::unique_ptr<Node> node_;
   std::unique_ptr<OperatorApi> operators_;
+  std::unique_ptr<ConfigApi> config_api_;
+  std::unique_ptr<ConfigAgent> config_agent_;
   std::unique_ptr<HttpServer> http_;
   std::atomic<bool> is_ready_{false};
   std::atomic<bool> stopping_{false};
--- a/src/daemon/guard_role.cc
+++ b/src/daemon/guard_role.cc
@@ -11,6 +11,7 @@
 #include "daemon/process_routes.h"
 #include "http/announcement_json.h"
 #include "http/job_json.h"
+#include "settings/declarations_text.h"
 
 namespace qs {
 namespace {
@@ -33,6 +34,7 @@
   options.max_deadline = settings.max_deadline;
   options.id_lifetime = settings.id_lifetime;
   options.answer_retention = settings.answer_retention;
+  options.needs_configuration = !settings.platform_endpoint.empty();
   options.lost_after = settings.executor_lost_after;
   return options;
 }
@@ -76,7 +78,9 @@
         }
         if (was_empty) asio::post(kernel_->io, [this] { OnTaskEnds(); });
       });
-  auto node = Node::Make(kernel_, Role::kGuard, this, [this] { OnMembers(); });
+  auto node = Node::Make(
+      kernel_, Role::kGuard, this, [this] { OnMembers(); },
+      [this] { OnConfig(); });
   if (!node) return node.error();
   node_ = std::move(*node);
   kernel_->timers.Subscribe(kHomeTick, [this](Instant now) {
@@ -258,10 +262,32 @@
   Pump();
 }
 
+void GuardRole::OnConfig() {
+  const Configuration& configuration = node_->configuration();
+  Checked<Declarations> declarations =
+      ParseDeclarations("version " + std::to_string(configuration.version()),
+                        configuration.document());
+  if (!declarations) {
+    Log(LogLevel::kError, "configuration_not_understood",
+        {{"findings", declarations.error().ToText()}});
+    return;
+  }
+  const Instant now = Clock::now();
+  const bool drained = declarations->drains.contains(kernel_->settings.listen);
+  if (drained != drained_by_config_) {
+    drained_by_config_ = drained;
+    executor_->SetDraining(drained_by_config_ || drained_by_command_, now);
+  }
+  home_->SetDeclarations(std::move(*declarations));
+  UpdateSelf(now);
+  ReportState(now);
+  Pump();
+}
+
 void GuardRole::UpdateSelf(Instant now) {
   Membership& membership = node_->membership();
   membership.UpdateSelf(executor_->load(now),
-                        executor_->announcement().services, 0);
+                        executor_->announcement().services);
   home_->OnMember(membership.self(), true, now);
 }
 
@@ -347,7 +373,8 @@
     reply.document =
         ReasonsDocument(kernel_->metrics.ReasonCounts(), settings.listen);
   } else if (request.verb == "drain" || request.verb == "undrain") {
-    executor_->SetDraining(request.verb == "drain", now);
+    drained_by_command_ = request.verb == "drain";
+    executor_->SetDraining(drained_by_config_ || drained_by_command_, now);
     UpdateSelf(now);
     ReportState(now);
     reply.document =
--- a/src/daemon/guard_role.h
+++ b/src/daemon/guard_role.h
@@ -52,6 +52,7 @@
   void Perform(SendReplies action);
   void OnTaskEnds();
   void OnMembers();
+  void OnConfig();
   void UpdateSelf(Instant now);
   void ReportState(Instant now);
 
@@ -73,6 +74,8 @@
   ServingState reported_state_ = ServingState::kAbsent;
   std::atomic<bool> is_ready_{false};
   bool stopping_ = false;
+  bool drained_by_command_ = false;
+  bool drained_by_config_ = false;
 
   std::mutex ends_mutex_;
   std::vector<TaskEnd> ends_;  // Finished attempts not yet seen by the core.
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -42,9 +42,10 @@
 
 Result<std::unique_ptr<Node>> Node::Make(Kernel* kernel, Role role,
                                          PeerHandler* handler,
-                                         std::function<void()> on_members) {
-  std::unique_ptr<Node> node(
-      new Node(kernel, role, handler, std::move(on_members)));
+                                         std::function<void()> on_members,
+                                         std::function<void()> on_config) {
+  std::unique_ptr<Node> node(new Node(
+      kernel, role, handler, std::move(on_members), std::move(on_config)));
   const Hello self{kernel->incarnation, kernel->settings.listen, role};
   auto network = PeerNetwork::Make(&kernel->io, self, node.get());
   if (!network) return tl::unexpected(network.error());
@@ -61,10 +62,11 @@
 }
 
 Node::Node(Kernel* kernel, Role role, PeerHandler* handler,
-           std::function<void()> on_members)
+           std::function<void()> on_members, std::function<void()> on_config)
     : kernel_(kernel),
       handler_(handler),
       on_members_(std::move(on_members)),
+      on_config_(std::move(on_config)),
       membership_(OptionsFrom(kernel->settings), SelfRecord(*kernel, role),
                   static_cast<uint32_t>(kernel->incarnation.value)),
       started_(Clock::now()),
@@ -131,6 +133,26 @@
   on_members_();
 }
 
+bool Node::IsBehind(const Gossip& gossip) const {
+  // A gossip's first record is that of its sender.
+  return !gossip.members.empty() &&
+         gossip.members.front().config_version < configuration_.version();
+}
+
+ConfigOffer Node::MakeOffer() const {
+  return {configuration_.version(), configuration_.document()};
+}
+
+void Node::OfferConfig(uint64_t version, const std::string& document) {
+  if (!configuration_.Offer(version, document)) return;
+  Log(LogLevel::kInfo, "configuration", {{"version", std::to_string(version)}});
+  membership_.SetConfigVersion(version);
+  on_config_();
+  for (const Address target : membership_.ChooseTargets()) {
+    network_->Send(target, MakeOffer());
+  }
+}
+
 void Node::OnLinkUp(Address address, const Hello& hello) {
   membership_.OnIncarnation(address, hello.incarnation, Clock::now());
   Log(LogLevel::kInfo, "link_up", {{"peer", address.ToString()}});
@@ -152,6 +174,11 @@
   if (const Gossip* gossip = std::get_if<Gossip>(&message)) {
     Gossip no_reply;
     OnGossip(*gossip, &no_reply);
+    if (IsBehind(*gossip)) network_->Send(address, MakeOffer());
+    return;
+  }
+  if (const ConfigOffer* offer = std::get_if<ConfigOffer>(&message)) {
+    OfferConfig(offer->version, offer->document);
     return;
   }
   handler_->OnLinkMessage(address, incarnation, std::move(message));
@@ -167,6 +194,11 @@
     Gossip reply;
     OnGossip(*gossip, &reply);
     if (!reply.members.empty()) network_->SendToSession(session, reply);
+    if (IsBehind(*gossip)) network_->SendToSession(session, MakeOffer());
+    return;
+  }
+  if (const ConfigOffer* offer = std::get_if<ConfigOffer>(&message)) {
+    OfferConfig(offer->version, offer->document);
     return;
   }
   handler_->OnSessionMessage(session, hello, std::move(message));
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/configuration.h"
 #include "core/membership.h"
 #include "net/peer_network.h"
 
@@ -23,21 +24,27 @@
 class Node final : private PeerHandler {
  public:
   // `handler` gets everything but gossip. `on_members` is called after members
-  // or their load changed. Both must outlive the node.
+  // or their load changed, `on_config` after a version came into force. All
+  // must outlive the node.
   static Result<std::unique_ptr<Node>> Make(Kernel* kernel, Role role,
                                             PeerHandler* handler,
-                                            std::function<void()> on_members);
+                                            std::function<void()> on_members,
+                                            std::function<void()> on_config);
   ~Node() override;
 
   PeerNetwork& network() { return *network_; }
   Membership& membership() { return membership_; }
+  // The version in force here. Offer puts a higher one in force, tells the role
+  // and passes it on.
+  const Configuration& configuration() const { return configuration_; }
+  void OfferConfig(uint64_t version, const std::string& document);
   // Whether the members were learned, from the platform or from a peer.
   bool is_warm() const { return is_warm_; }
   void Close();
 
  private:
   Node(Kernel* kernel, Role role, PeerHandler* handler,
-       std::function<void()> on_members);
+       std::function<void()> on_members, std::function<void()> on_config);
 
   void OnLinkUp(Address address, const Hello& hello) override;
   void OnLinkDown(Address address, Incarnation incarnation) override;
@@ -51,11 +58,16 @@
 
   void GossipRound(Instant now);
   void OnGossip(const Gossip& gossip, Gossip* reply);
+  // What a peer that has an older configuration is sent.
+  bool IsBehind(const Gossip& gossip) const;
+  ConfigOffer MakeOffer() const;
   void StartPlatformAgent();
 
   Kernel* kernel_;
   PeerHandler* handler_;
   std::function<void()> on_members_;
+  std::function<void()> on_config_;
+  Configuration configuration_;
   Membership membership_;
   std::unique_ptr<PeerNetwork> network_;
   std::unique_ptr<PlatformAgent> platform_agent_;
--- a/src/http/job_json.cc
+++ b/src/http/job_json.cc
@@ -32,6 +32,8 @@
     case Reason::kNoSuchService:
     case Reason::kConstraintUnmet:
     case Reason::kUnknownTeam:
+    case Reason::kDeadlineTooLong:
+    case Reason::kOverQuotaForGood:
       return 422;
     case Reason::kTeamQuota:
       return 429;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,7 +1,5 @@
 #include "settings/settings.h"
 
-#include <ini.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -12,6 +10,7 @@
 #include <variant>
 
 #include "core/placement_policy.h"
+#include "settings/ini_items.h"
 
 namespace qs {
 namespace {
@@ -166,71 +165,6 @@
   return std::visit(Assigner{settings, row, text}, row.member);
 }
 
-struct IniItem {
-  int line = 0;
-  std::string section;
-  std::string key;
-  std::string value;
-};
-
-// inih reports no line numbers to its handler, so the reader that hands it the
-// lines counts them.
-struct IniPass {
-  const std::vector<std::string>* lines;
-  size_t next = 0;
-  std::vector<IniItem> items;
-
-  static char* Read(char* buffer, int size, void* self) {
-    auto* pass = static_cast<IniPass*>(self);
-    if (pass->next >= pass->lines->size()) return nullptr;
-    const std::string& line = (*pass->lines)[pass->next++];
-    std::snprintf(buffer, static_cast<size_t>(size), "%s\n", line.c_str());
-    return buffer;
-  }
-
-  static int Handle(void* self, const char* section, const char* key,
-                    const char* value) {
-    auto* pass = static_cast<IniPass*>(self);
-    pass->items.push_back({static_cast<int>(pass->next), section, key, value});
-    return 1;
-  }
-};
-
-constexpr size_t kMaxLineLength = 198;  // inih cuts longer lines.
-
-std::string LinePlace(const std::string& file, size_t line) {
-  return file + ":" + std::to_string(line);
-}
-
-std::vector<IniItem> ReadItems(const std::string& file, const std::string& text,
-                               Findings* findings) {
-  std::vector<std::string> lines;
-  std::istringstream stream(text);
-  for (std::string line; std::getline(stream, line);) {
-    lines.push_back(std::move(line));
-  }
-  for (size_t i = 0; i < lines.size(); ++i) {
-    if (lines[i].size() <= kMaxLineLength &&
-        lines[i].find('\0') == std::string::npos) {
-      continue;
-    }
-    findings->Add(LinePlace(file, i + 1), "the line is too long or binary");
-    lines[i].clear();
-  }
-  // inih names the first faulty line only; blank it and read again for the
-  // next.
-  while (true) {
-    IniPass pass{&lines, 0, {}};
-    const int fault =
-        ini_parse_stream(&IniPass::Read, &pass, &IniPass::Handle, &pass);
-    if (fault <= 0) return std::move(pass.items);
-    const auto index = static_cast<size_t>(fault) - 1;
-    findings->Add(LinePlace(file, index + 1),
-                  "neither a [section] nor key = value: " + lines[index]);
-    lines[index].clear();
-  }
-}
-
 void CheckNames(const Settings& settings, const std::string& file,
                 Findings* findings) {
   if (!settings.role.empty() && settings.role != "entry" &&
@@ -269,9 +203,8 @@
     Assign(&settings, row, row.default_value);
   }
   std::set<const Row*> given;
-  for (const IniItem& item : ReadItems(file, text, &findings)) {
-    const std::string place = LinePlace(file, static_cast<size_t>(item.line)) +
-                              " [" + item.section + "] " + item.key;
+  for (const IniItem& item : ReadIniItems(file, text, &findings)) {
+    const std::string place = item.Place(file);
     const Row* row = FindRow(item.section, item.key);
     if (row == nullptr) {
       findings.Add(place, "unknown key");
