Cut the gossip to the budget of a node

Cause: each gossip was answered with 64 records; at 120 guards a guard sent 79 KB/s, where a node has 28 KB/s for all control. Now only a sender that is new gets an answer, two members are told in each round, and a message holds 32 records.

Ruled out: longer rounds, which age the load that placement sees.

--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -22,10 +22,21 @@
 }
 
 Gossip Membership::OnGossip(const Gossip& gossip, Instant now, bool* changed) {
+  // A gossip's first record is that of its sender. Only a sender that is new
+  // here is told the members in return; all others hear of them by other
+  // rounds.
+  const bool is_new_sender =
+      !gossip.members.empty() && !IsLive(gossip.members.front());
   for (const MemberRecord& record : gossip.members) {
     if (Merge(record, now)) *changed = true;
   }
-  return gossip.want_reply ? MakeGossip(false) : Gossip{};
+  return gossip.want_reply && is_new_sender ? MakeGossip(false) : Gossip{};
+}
+
+bool Membership::IsLive(const MemberRecord& record) const {
+  const auto found = peers_.find(record.address);
+  return found != peers_.end() && found->second.is_live &&
+         found->second.record.incarnation == record.incarnation;
 }
 
 bool Membership::Merge(const MemberRecord& record, Instant now) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -9,8 +9,8 @@
 namespace qs {
 
 struct MembershipOptions {
-  uint32_t fanout = 3;           // Members told in each round.
-  uint32_t max_records = 64;     // Per gossip message.
+  uint32_t fanout = 2;           // Members told in each round.
+  uint32_t max_records = 32;     // Per gossip message.
   Millis suspect_after{3000};    // Without news a member gets no new work.
   Millis forget_after{600'000};  // Without news a member is dropped.
 };
@@ -57,6 +57,7 @@
 
  private:
   Gossip MakeGossip(bool want_reply) const;
+  bool IsLive(const MemberRecord& record) const;
   bool Merge(const MemberRecord& record, Instant now);
 
   MembershipOptions options_;
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -74,7 +74,10 @@
                                           "Frames sent to other processes.")),
       bytes_sent_(
           &kernel->metrics.gauge("quetzalspindle_frame_bytes_sent",
-                                 "Bytes of frames sent to other processes.")) {}
+                                 "Bytes of frames sent to other processes.")),
+      config_version_(&kernel->metrics.gauge(
+          "quetzalspindle_config_version",
+          "Version of the configuration in force; 0 when none is known.")) {}
 
 Node::~Node() { Close(); }
 
@@ -147,6 +150,7 @@
   if (!configuration_.Offer(version, document)) return;
   Log(LogLevel::kInfo, "configuration", {{"version", std::to_string(version)}});
   membership_.SetConfigVersion(version);
+  config_version_->Set(static_cast<double>(version));
   on_config_();
   for (const Address target : membership_.ChooseTargets()) {
     network_->Send(target, MakeOffer());
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -74,6 +74,7 @@
   Instant started_;
   prometheus::Gauge* frames_sent_;  // Set in each gossip round.
   prometheus::Gauge* bytes_sent_;
+  prometheus::Gauge* config_version_;
   bool heard_peer_ = false;
   bool read_platform_ = false;
   bool is_warm_ = false;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -47,7 +47,7 @@
         "IP:port list, separated by spaces, of processes to contact first"},
     Row{"members", "gossip_interval_ms", &Settings::gossip_interval, "500", 20,
         60'000, "time between two rounds of telling other members"},
-    Row{"members", "gossip_fanout", &Settings::gossip_fanout, "3", 1, 32,
+    Row{"members", "gossip_fanout", &Settings::gossip_fanout, "2", 1, 32,
         "members told in each round"},
     Row{"members", "suspect_after_ms", &Settings::suspect_after, "5000", 100,
         600'000, "a member silent for so long gets no new work"},
--- a/tests/lib/cluster.cc
+++ b/tests/lib/cluster.cc
@@ -18,7 +18,6 @@
 using nlohmann::json;
 
 constexpr Millis kPoll{20};
-constexpr int kEntryHost = 100;
 
 bool CanBind(Address address) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -32,13 +31,16 @@
   return bound;
 }
 
-// A free /24 of the loopback network, so that test programs run side by side.
+// A free /22 of the loopback network, so that test programs run side by side.
 uint32_t FindNetwork() {
+  constexpr uint32_t kHosts = 1024;
+  constexpr uint32_t kPlatformHost = 1000;
   std::random_device device;
   while (true) {
     const uint32_t network = (127U << 24U) | ((16 + device() % 200) << 16U) |
-                             ((device() % 256) << 8U);
-    if (CanBind({network + 1, 7000}) && CanBind({network + 250, 8000})) {
+                             (device() % 64) * kHosts;
+    if (CanBind({network + 1, 7000}) &&
+        CanBind({network + kPlatformHost, 8000})) {
       return network;
     }
   }
@@ -64,7 +66,7 @@
   entries_.resize(static_cast<size_t>(options_.entries));
   for (int i = 0; i < options_.guards; ++i) {
     StartGuard(i);
-    StartBackend(i);
+    if (options_.start_backends) StartBackend(i);
   }
   for (int i = 0; i < options_.entries; ++i) StartEntry(i);
 }
@@ -94,7 +96,8 @@
                         "\nlisten = " + Host(number, kPeerPort).ToString() +
                         "\nhttp = " + Host(number, kHttpPort).ToString() +
                         "\nzone = " + zone + "\n";
-  sections["members"] = "gossip_interval_ms = 100\n";
+  sections["members"] = "gossip_interval_ms = " +
+                        std::to_string(options_.gossip_interval.count()) + "\n";
   if (options_.platform) {
     sections["platform"] = "endpoint = http://" + platform_http().ToString() +
                            "\ntimeout_ms = 1000\n";
--- a/tests/lib/cluster.h
+++ b/tests/lib/cluster.h
@@ -25,6 +25,8 @@
   std::map<std::string, std::string> entry_settings;
   std::vector<std::string> backend_arguments;
   bool keep_start_logs = true;
+  bool start_backends = true;
+  Millis gossip_interval{100};
 };
 
 // Processes of the system with their stand-ins, each host with a loopback
@@ -48,11 +50,11 @@
   void StartGuard(int i);
   void StartBackend(int i);
 
-  Address entry_http(int i) const { return Host(100 + i, kHttpPort); }
+  Address entry_http(int i) const { return Host(kEntryHost + i, kHttpPort); }
   Address guard_peer(int i) const { return Host(1 + i, kPeerPort); }
   Address guard_http(int i) const { return Host(1 + i, kHttpPort); }
   Address backend_http(int i) const { return Host(1 + i, kBackendPort); }
-  Address platform_http() const { return Host(250, kHttpPort); }
+  Address platform_http() const { return Host(kPlatformHost, kHttpPort); }
 
   int entry_count() const { return options_.entries; }
   int guard_count() const { return options_.guards; }
@@ -81,6 +83,9 @@
   double EntryCounter(const std::string& name, const std::string& label) const;
 
  private:
+  // Guards and their backend servers have the hosts from 1 on.
+  static constexpr int kEntryHost = 900;
+  static constexpr int kPlatformHost = 1000;
   static constexpr uint16_t kPeerPort = 7000;
   static constexpr uint16_t kHttpPort = 8000;
   static constexpr uint16_t kBackendPort = 9000;
--- a/tools/bench.cc
+++ b/tools/bench.cc
@@ -1,14 +1,12 @@
 // Measures the speed of the demo's processes on this machine. Figures belong to
 // the machine and the moment; compare ratios of one run.
 
-#include <unistd.h>
-
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <fstream>
-#include <sstream>
 
 #include "lib/cluster.h"
+#include "lib/usage.h"
 
 namespace {
 
@@ -16,34 +14,6 @@
 using qs::Millis;
 using qs::test::Cluster;
 
-struct Usage {
-  double cpu_seconds = 0;
-  double peak_mb = 0;
-};
-
-// Processor time and peak memory of a process so far.
-Usage UsageOf(pid_t pid) {
-  Usage usage;
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-  std::string line;
-  std::getline(stat, line);
-  std::istringstream fields(line.substr(line.rfind(')') + 2));
-  std::string word;
-  constexpr int kUserTimeField = 11;
-  double ticks = 0;
-  for (int i = 0; fields >> word; ++i) {
-    const bool is_time = i == kUserTimeField || i == kUserTimeField + 1;
-    if (is_time) ticks += std::stod(word);
-  }
-  usage.cpu_seconds = ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  while (std::getline(status, line)) {
-    if (line.starts_with("VmHWM:"))
-      usage.peak_mb = std::stod(line.substr(6)) / 1024;
-  }
-  return usage;
-}
-
 class Bench {
  public:
   Bench(Cluster* cluster, int guards, int entries)
@@ -79,10 +49,10 @@
   }
 
  private:
-  std::map<std::string, Usage> Totals() {
-    std::map<std::string, Usage> totals;
+  std::map<std::string, qs::Usage> Totals() {
+    std::map<std::string, qs::Usage> totals;
     const auto add = [&](const std::string& role, pid_t pid) {
-      const Usage usage = UsageOf(pid);
+      const qs::Usage usage = qs::UsageOf(pid);
       totals[role].cpu_seconds += usage.cpu_seconds;
       totals[role].peak_mb = std::max(totals[role].peak_mb, usage.peak_mb);
     };
@@ -125,6 +95,7 @@
   options.entries = 2;
   options.guards = guards;
   options.keep_start_logs = false;
+  options.gossip_interval = Millis(500);
   options.guard_settings["guard"] =
       "queue_per_slot = " + std::to_string(queue_per_slot) +
       "\nplacement = " + placement + "\n";
