--- a/src/core/executor.cc
+++ b/src/core/executor.cc
@@ -218,7 +218,7 @@
 void Executor::OnHomeCutOff(Incarnation home, Instant now) {
   now_ = now;
   const auto found = homes_.find(home);
-  if (found == homes_.end()) return;
+  if (found == homes_.end() || found->second.cut_off) return;
   found->second.cut_off = true;
   found->second.cut_off_at = now;
 }
--- a/src/core/executor.h
+++ b/src/core/executor.h
@@ -70,7 +70,9 @@
   void OnGrants(Incarnation home, GrantBatch batch, Instant now);
   void OnAsk(Incarnation home, const AskBatch& ask, Instant now);
   void OnTaskEnded(const GrantKey& key, TaskResult result, Instant now);
-  // The connection to the home broke. Its grants live on for the grace time.
+  // The connection to the home broke, or the home is silent. Its grants live on
+  // for the grace time, and a stop no longer waits for its acknowledgement. A
+  // repeated call changes nothing.
   void OnHomeCutOff(Incarnation home, Instant now);
   // Another incarnation runs at the home's address.
   void OnHomeGone(Incarnation home, Instant now);
--- a/src/daemon/guard_role.cc
+++ b/src/daemon/guard_role.cc
@@ -254,6 +254,10 @@
   if (node_ == nullptr) return;
   for (const auto& [address, peer] : node_->membership().peers()) {
     home_->OnMember(peer.record, peer.is_live, now);
+    // A paused home keeps its connection but sends no gossip.
+    if (!peer.is_live) {
+      executor_->OnHomeCutOff(peer.record.incarnation, now);
+    }
   }
   if (node_->is_warm()) {
     home_->SetWarm();
--- a/tests/executor_test.cc
+++ b/tests/executor_test.cc
@@ -147,6 +147,20 @@
   EXPECT_EQ(replies_[0].result.reason, Reason::kBackendAbsent);
 }
 
+TEST_F(ExecutorTest, AStopDoesNotWaitForASilentHome) {
+  Give(1);
+  executor_.OnTaskEnded({kHome, 1}, {Outcome::kDone, Reason::kNone, {}}, now_);
+  executor_.Stop(now_);
+  EXPECT_FALSE(executor_.AllAcknowledged());
+  executor_.OnHomeCutOff(kHome, now_);
+  EXPECT_TRUE(executor_.AllAcknowledged());
+  // The home is heard again before the process has ended.
+  executor_.OnAsk(kHome, {1, kSelf, false, {1}}, now_);
+  EXPECT_FALSE(executor_.AllAcknowledged());
+  executor_.OnAsk(kHome, {2, kSelf, false, {}}, now_);
+  EXPECT_TRUE(executor_.AllAcknowledged());
+}
+
 TEST_F(ExecutorTest, DropsTheQueuedGrantsOfAHomeThatStaysCutOff) {
   for (GrantNumber i = 1; i <= 3; ++i) Give(i);
   executor_.OnHomeCutOff(kHome, now_);
