Split what a home knows of executors from the home

ExecutorTable holds the executors, their aged load and the choice among them; Demand is a type of its own; the two switches on an id's standing are one function; the guard's four copies of 'tell everyone of the backend server' are one.

--- a/src/core/home.cc
+++ b/src/core/home.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <utility>
 
 #include "core/observer.h"
@@ -10,16 +9,6 @@
 namespace qs {
 namespace {
 
-// Load that came by gossip replaces that of a direct reply older than this.
-constexpr Millis kReplyLoadLifetime{500};
-
-// Of each new grant time in the mean.
-constexpr double kMeanGain = 0.05;
-constexpr double kShortestMeanSeconds = 0.001;
-
-constexpr Millis kFirstRefusalPause{2};
-constexpr Millis kLongestRefusalPause{1000};
-
 TaskResult Ended(Outcome outcome, Reason reason) {
   return {outcome, reason, {}};
 }
@@ -38,9 +27,10 @@
 Home::Home(const HomeOptions& options, std::unique_ptr<PlacementPolicy> policy,
            Observer* observer, uint32_t seed)
     : options_(options),
-      policy_(std::move(policy)),
       observer_(observer),
-      random_(seed),
+      executors_({options.self, options.zone, options.queue_per_slot,
+                  options.offer_memory},
+                 std::move(policy), seed),
       minter_(options.id_lifetime) {}
 
 // Requests of callers.
@@ -71,15 +61,10 @@
                  now);
     return;
   }
-  switch (minter_.StandingOf(sequence)) {
-    case Minter::Standing::kNeverMinted:
-      AnswerRefusal(session, request.request, Reason::kIdNotMinted);
-      return;
-    case Minter::Standing::kSpent:
-      AnswerRefusal(session, request.request, Reason::kIdRetired);
-      return;
-    case Minter::Standing::kOpen:
-      break;
+  const Reason standing = StandingReason(sequence);
+  if (standing != Reason::kNotHandedIn) {
+    AnswerRefusal(session, request.request, standing);
+    return;
   }
   minter_.Spend(sequence);
   const uint64_t request_number = request.request;
@@ -101,7 +86,7 @@
   }
   const Reason declared = DeclaredRefusal(job);
   if (declared != Reason::kNone) return declared;
-  const Reason refusal = PlacementRefusal(DemandOf(job));
+  const Reason refusal = executors_.RefusalFor(DemandOf(job), is_warm_);
   if (refusal != Reason::kNone) return refusal;
   if (running_jobs_ >= options_.max_jobs ||
       waiting_ + job.payloads.size() > options_.max_waiting_tasks) {
@@ -138,35 +123,7 @@
   return held + tasks > quota ? Reason::kTeamQuota : Reason::kNone;
 }
 
-// Tells a demand that nobody can meet from one that somebody may meet again.
-Reason Home::PlacementRefusal(const Demand& demand) const {
-  for (const auto& [incarnation, executor] : executors_) {
-    if (Meets(executor, demand)) return Reason::kNone;
-  }
-  bool service_seen = false;
-  for (const auto& [offer, seen] : offers_seen_) {
-    if (Meets(offer, demand)) return Reason::kNoGuardAvailable;
-    service_seen = service_seen || offer.service == demand.service;
-  }
-  if (!is_warm_) return Reason::kWarmingUp;
-  return service_seen ? Reason::kConstraintUnmet : Reason::kNoSuchService;
-}
-
-bool Home::Meets(const Executor& executor, const Demand& demand) {
-  return std::any_of(
-      executor.services.begin(), executor.services.end(),
-      [&](const std::string& service) {
-        return Meets({service, executor.zone, executor.worker_kind}, demand);
-      });
-}
-
-bool Home::Meets(const Demand& offer, const Demand& demand) {
-  if (offer.service != demand.service) return false;
-  if (!demand.zone.empty() && offer.zone != demand.zone) return false;
-  return demand.worker_kind.empty() || offer.worker_kind == demand.worker_kind;
-}
-
-Home::Demand Home::DemandOf(const JobSpec& job) {
+Demand Home::DemandOf(const JobSpec& job) {
   return {job.service, job.zone, job.worker_kind};
 }
 
@@ -224,17 +181,20 @@
                  now);
     return;
   }
-  switch (minter_.StandingOf(request.sequence)) {
+  AnswerRefusal(session, request.request, StandingReason(request.sequence));
+}
+
+// Why there is no job under a sequence.
+Reason Home::StandingReason(uint64_t sequence) const {
+  switch (minter_.StandingOf(sequence)) {
     case Minter::Standing::kNeverMinted:
-      AnswerRefusal(session, request.request, Reason::kIdNotMinted);
-      return;
+      return Reason::kIdNotMinted;
     case Minter::Standing::kSpent:
-      AnswerRefusal(session, request.request, Reason::kIdRetired);
-      return;
+      return Reason::kIdRetired;
     case Minter::Standing::kOpen:
-      AnswerRefusal(session, request.request, Reason::kNotHandedIn);
-      return;
+      break;
   }
+  return Reason::kNotHandedIn;
 }
 
 void Home::OnCancel(uint64_t session, const CancelRequest& request,
@@ -299,57 +259,37 @@
 // Executors.
 
 void Home::OnMember(const MemberRecord& record, bool is_live, Instant now) {
-  if (record.role != Role::kGuard) return;
-  for (const std::string& service : record.services) {
-    offers_seen_[{service, record.zone, record.worker_kind}] = now;
-  }
-  Executor& executor = executors_[record.incarnation];
-  executor.address = record.address;
-  executor.zone = record.zone;
-  executor.worker_kind = record.worker_kind;
-  executor.services = record.services;
-  if (executor.is_live && !is_live) executor.silent_since = now;
-  executor.is_live = is_live;
-  if (now - executor.load_heard > kReplyLoadLifetime) {
-    executor.load = record.load;
-    const auto total = record.load.running + record.load.queued;
-    const auto mine = static_cast<uint32_t>(executor.open.size());
-    executor.others = total > mine ? total - mine : 0;
-    executor.others_heard = now;
-  }
+  if (record.role == Role::kGuard) executors_.OnMember(record, is_live, now);
 }
 
 void Home::OnExecutorUp(Address address, Incarnation incarnation, Instant now) {
-  Executor& executor = executors_[incarnation];
-  executor.address = address;
-  executor.is_connected = true;
-  executor.is_live = true;
-  if (!executor.open.empty()) {
+  const ExecutorEntry* executor = executors_.OnUp(address, incarnation);
+  if (!executor->open.empty()) {
     // Replies may have been lost with the old connection.
-    AskFor(incarnation, {executor.open.begin(), executor.open.end()}, false);
+    AskFor(incarnation, {executor->open.begin(), executor->open.end()}, false);
   }
   Dispatch(now);
 }
 
 void Home::OnExecutorCutOff(Incarnation incarnation, Instant now) {
-  const auto found = executors_.find(incarnation);
-  if (found == executors_.end() || !found->second.is_connected) return;
-  found->second.is_connected = false;
-  found->second.cut_off_at = now;
+  ExecutorEntry* executor = executors_.Find(incarnation);
+  if (executor == nullptr || !executor->is_connected) return;
+  executor->is_connected = false;
+  executor->cut_off_at = now;
 }
 
 void Home::OnExecutorGone(Incarnation incarnation, Instant now) {
   LoseExecutor(incarnation, Reason::kExecutorLost, now);
-  executors_.erase(incarnation);
+  executors_.Erase(incarnation);
   Dispatch(now);
 }
 
 void Home::LoseExecutor(Incarnation incarnation, Reason reason, Instant now) {
-  const auto found = executors_.find(incarnation);
-  if (found == executors_.end()) return;
-  found->second.batch.clear();
-  const std::vector<GrantNumber> open(found->second.open.begin(),
-                                      found->second.open.end());
+  ExecutorEntry* executor = executors_.Find(incarnation);
+  if (executor == nullptr) return;
+  executor->batch.clear();
+  const std::vector<GrantNumber> open(executor->open.begin(),
+                                      executor->open.end());
   for (const GrantNumber number : open) {
     const TaskRef ref = grants_.at(number).task;
     CloseGrant(number);
@@ -360,20 +300,16 @@
 
 void Home::OnReplies(Incarnation incarnation, GrantReplies replies,
                      Instant now) {
-  const auto found = executors_.find(incarnation);
-  if (found == executors_.end()) return;
-  Executor& executor = found->second;
-  const Load& load = replies.load;
-  executor.load = load;
-  executor.load_heard = now;
-  const uint32_t total = load.running + load.queued;
-  executor.others = total > load.yours ? total - load.yours : 0;
-  executor.others_heard = now;
+  ExecutorEntry* executor = executors_.Find(incarnation);
+  if (executor == nullptr) return;
+  ExecutorTable::OnLoad(executor, replies.load, now);
   for (GrantStatus& status : replies.statuses) {
     OnStatus(incarnation, std::move(status), now);
   }
   // A stopping guard leaves once its results are acknowledged.
-  if (load.state == ServingState::kStopping) AskFor(incarnation, {}, false);
+  if (replies.load.state == ServingState::kStopping) {
+    AskFor(incarnation, {}, false);
+  }
   Dispatch(now);
 }
 
@@ -393,7 +329,7 @@
   const bool is_returned = status.result.outcome == Outcome::kNotRun;
   if (is_returned && job.stop_reason == Reason::kNone &&
       status.result.reason != Reason::kDeadlinePassed) {
-    NoteRefusal(&executors_.at(incarnation), now);
+    ExecutorTable::OnRefusal(executors_.Find(incarnation), now);
     ReturnTask(ref, status.result.reason, now);
     return;
   }
@@ -401,28 +337,16 @@
     status.result.reason = job.stop_reason;
   }
   if (!is_returned) {
-    executors_.at(incarnation).refusal_pause = Millis(0);
-    const double seconds = std::chrono::duration<double>(now - granted).count();
-    mean_grant_seconds_ += (seconds - mean_grant_seconds_) * kMeanGain;
-    mean_grant_seconds_ = std::max(mean_grant_seconds_, kShortestMeanSeconds);
+    executors_.OnGrantEnded(executors_.Find(incarnation), now - granted);
   }
   EndTask(&job, ref.task, std::move(status.result), now);
 }
 
-// Keeps a task from bouncing between this home and an executor that refuses.
-void Home::NoteRefusal(Executor* executor, Instant now) {
-  // Refusals of one batch count once.
-  if (now < executor->refused_until) return;
-  executor->refusal_pause = std::clamp(
-      executor->refusal_pause * 2, kFirstRefusalPause, kLongestRefusalPause);
-  executor->refused_until = now + executor->refusal_pause;
-}
-
 void Home::CloseGrant(GrantNumber number) {
   const auto grant = grants_.find(number);
   assert(grant != grants_.end());
-  const auto executor = executors_.find(grant->second.executor);
-  if (executor != executors_.end()) executor->second.open.erase(number);
+  ExecutorEntry* executor = executors_.Find(grant->second.executor);
+  if (executor != nullptr) executor->open.erase(number);
   grants_.erase(grant);
 }
 
@@ -450,7 +374,8 @@
 bool Home::DispatchNext(const Demand& demand, Backlog* backlog, Instant now) {
   if (backlog->empty()) return false;
   Incarnation incarnation;
-  Executor* executor = ChooseExecutor(demand, now, &incarnation);
+  ExecutorEntry* executor =
+      executors_.Choose(demand, stopping_, now, &incarnation);
   if (executor == nullptr) return false;
   const TaskRef ref = backlog->Pop();
   const auto job = jobs_.find(ref.sequence);
@@ -462,85 +387,8 @@
   return true;
 }
 
-Home::Executor* Home::ChooseExecutor(const Demand& demand, Instant now,
-                                     Incarnation* incarnation) {
-  std::vector<Candidate> candidates;
-  std::vector<std::pair<Incarnation, Executor*>> executors;
-  for (auto& [number, executor] : executors_) {
-    if (RoomAt(executor, now) == 0 || !Meets(executor, demand)) continue;
-    candidates.push_back({executor.load.slots, OutstandingAt(executor, now),
-                          executor.zone == options_.zone});
-    executors.emplace_back(number, &executor);
-  }
-  if (candidates.empty()) {
-    return OwnExecutorWhileStopping(demand, now, incarnation);
-  }
-  const size_t chosen = policy_->Choose(candidates, &random_);
-  *incarnation = executors[chosen].first;
-  return executors[chosen].second;
-}
-
-// A stopping home with jobs in progress and nobody else to take their tasks
-// ends them in its own process, whose executor refuses all other homes by then.
-Home::Executor* Home::OwnExecutorWhileStopping(const Demand& demand,
-                                               Instant now,
-                                               Incarnation* incarnation) {
-  if (!stopping_) return nullptr;
-  const auto own = executors_.find(options_.self);
-  if (own == executors_.end()) return nullptr;
-  Executor& executor = own->second;
-  const bool can_take = executor.load.state == ServingState::kStopping &&
-                        now >= executor.refused_until &&
-                        Meets(executor, demand) &&
-                        FreePlacesAt(executor, now) > 0;
-  if (!can_take) return nullptr;
-  *incarnation = options_.self;
-  return &executor;
-}
-
-// What other homes were last told to have there ages: as their tasks end and
-// new ones start, it tends to the mean of all executors.
-uint32_t Home::OutstandingAt(const Executor& executor, Instant now) const {
-  const double age =
-      std::chrono::duration<double>(now - executor.others_heard).count();
-  const double weight = std::clamp(age / mean_grant_seconds_, 0.0, 1.0);
-  const double others = executor.others * (1 - weight) + mean_others_ * weight;
-  return static_cast<uint32_t>(std::lround(others)) +
-         static_cast<uint32_t>(executor.open.size());
-}
-
-// Aged reports count less in the mean too, so that a burst that has ended
-// everywhere does not keep every executor full in this home's eyes.
-void Home::UpdateEstimates(Instant now) {
-  double sum = 0;
-  double count = 0;
-  for (const auto& [incarnation, executor] : executors_) {
-    if (executor.load.state != ServingState::kServing) continue;
-    const double age =
-        std::chrono::duration<double>(now - executor.others_heard).count();
-    const double weight = mean_grant_seconds_ / (mean_grant_seconds_ + age);
-    sum += executor.others * weight;
-    ++count;
-  }
-  mean_others_ = count > 0 ? sum / count : 0;
-}
-
-uint32_t Home::RoomAt(const Executor& executor, Instant now) const {
-  if (!executor.is_connected || !executor.is_live) return 0;
-  if (now < executor.refused_until) return 0;
-  if (executor.load.state != ServingState::kServing) return 0;
-  return FreePlacesAt(executor, now);
-}
-
-uint32_t Home::FreePlacesAt(const Executor& executor, Instant now) const {
-  const uint32_t slots = executor.load.slots;
-  const uint32_t limit = slots + slots * options_.queue_per_slot;
-  const uint32_t outstanding = OutstandingAt(executor, now);
-  return outstanding < limit ? limit - outstanding : 0;
-}
-
-void Home::GrantTo(Incarnation incarnation, Executor* executor, TaskRef ref,
-                   Instant now) {
+void Home::GrantTo(Incarnation incarnation, ExecutorEntry* executor,
+                   TaskRef ref, Instant now) {
   Job& job = jobs_.at(ref.sequence);
   Task& task = job.tasks[ref.task];
   assert(task.phase == Phase::kWaiting);
@@ -557,23 +405,23 @@
                              job.spec.service, job.spec.payloads[ref.task]});
 }
 
-GrantNumber Home::WatermarkOf(const Executor& executor) const {
+GrantNumber Home::WatermarkOf(const ExecutorEntry& executor) const {
   return executor.open.empty() ? next_grant_ : *executor.open.begin();
 }
 
 void Home::AskFor(Incarnation incarnation, std::vector<GrantNumber> numbers,
                   bool withdraw) {
-  const auto found = executors_.find(incarnation);
-  if (found == executors_.end()) return;
+  const ExecutorEntry* executor = executors_.Find(incarnation);
+  if (executor == nullptr) return;
   actions_.emplace_back(SendAsk{
       incarnation,
-      {WatermarkOf(found->second), incarnation, withdraw, std::move(numbers)}});
+      {WatermarkOf(*executor), incarnation, withdraw, std::move(numbers)}});
 }
 
 std::vector<HomeAction> Home::TakeActions() {
   std::vector<HomeAction> actions;
   // Grants go before questions about them.
-  for (auto& [incarnation, executor] : executors_) {
+  for (auto& [incarnation, executor] : executors_.entries()) {
     if (executor.batch.empty()) continue;
     actions.emplace_back(SendGrants{incarnation,
                                     {WatermarkOf(executor), incarnation,
@@ -669,14 +517,11 @@
 
 void Home::OnTimer(Instant now) {
   minter_.OnTimer(now);
-  UpdateEstimates(now);
+  executors_.OnTimer(now);
   CheckDeadlines(now);
   CheckWaiters(now);
   CheckExecutors(now);
   RetireAnswers(now);
-  std::erase_if(offers_seen_, [&](const auto& offer) {
-    return now - offer.second >= options_.offer_memory;
-  });
   Dispatch(now);
 }
 
@@ -718,11 +563,9 @@
 
 void Home::CheckExecutors(Instant now) {
   std::vector<Incarnation> lost;
-  for (auto& [incarnation, executor] : executors_) {
-    if (!executor.is_connected || !executor.is_live) {
-      // A paused process keeps its connections but sends no gossip.
-      const Instant since =
-          executor.is_connected ? executor.silent_since : executor.cut_off_at;
+  for (auto& [incarnation, executor] : executors_.entries()) {
+    Instant since;
+    if (executor.IsUnreachable(&since)) {
       const bool is_overdue = now - since >= options_.lost_after;
       if (is_overdue && !executor.open.empty()) lost.push_back(incarnation);
       continue;
@@ -799,8 +642,9 @@
       row.state = OutcomeName(task.result.outcome);
     } else if (task.phase == Phase::kGranted) {
       row.state = task.known_running ? "running" : "granted";
-      const auto executor = executors_.find(grants_.at(task.grant).executor);
-      if (executor != executors_.end()) row.executor = executor->second.address;
+      const ExecutorEntry* executor =
+          executors_.Find(grants_.at(task.grant).executor);
+      if (executor != nullptr) row.executor = executor->address;
     }
     rows.push_back(std::move(row));
   }
--- a/src/core/home.h
+++ b/src/core/home.h
@@ -12,6 +12,8 @@
 
 #include "core/backlog.h"
 #include "core/declarations.h"
+#include "core/demand.h"
+#include "core/executor_table.h"
 #include "core/minter.h"
 #include "core/placement_policy.h"
 #include "quetzalspindle/ids.h"
@@ -24,7 +26,7 @@
 struct HomeOptions {
   Incarnation self;  // Of the executor in the same process.
   std::string zone;
-  uint32_t queue_per_slot = 1;  // Grants beyond the slots of an executor.
+  uint32_t queue_per_slot = 0;  // Grants beyond the slots of an executor.
   uint32_t max_waiting_tasks = 20'000;  // Further jobs are refused.
   uint32_t max_jobs = 20'000;
   uint32_t max_mint = 10'000;  // Sequences in one request.
@@ -169,41 +171,12 @@
     Instant asked;  // When granted or last asked for.
   };
 
-  struct Executor {
-    Address address;
-    std::string zone;
-    std::string worker_kind;
-    std::vector<std::string> services;
-    Load load;
-    uint32_t others = 0;  // Estimate of outstanding grants of other homes.
-    bool is_connected = false;
-    bool is_live = false;
-    Instant cut_off_at;
-    Instant silent_since;   // When it stopped being live.
-    Instant load_heard;     // In a reply of its own.
-    Instant others_heard;   // When `others` was last told.
-    Instant refused_until;  // No grants before, after refusals in a row.
-    Millis refusal_pause{0};
-    std::set<GrantNumber> open;
-    std::vector<Grant> batch;  // Not yet sent.
-  };
-
-  // What a task demands of a backend server.
-  struct Demand {
-    std::string service;
-    std::string zone;
-    std::string worker_kind;
-    auto operator<=>(const Demand&) const = default;
-  };
-
   Home(const HomeOptions& options, std::unique_ptr<PlacementPolicy> policy,
        Observer* observer, uint32_t seed);
 
   Reason AdmissionRefusal(const JobSpec& job) const;
   Reason DeclaredRefusal(const JobSpec& job) const;
-  Reason PlacementRefusal(const Demand& demand) const;
-  static bool Meets(const Executor& executor, const Demand& demand);
-  static bool Meets(const Demand& offer, const Demand& demand);
+  Reason StandingReason(uint64_t sequence) const;
   static Demand DemandOf(const JobSpec& job);
   void Admit(uint64_t sequence, SubmitRequest request, Instant now);
   void RefuseForGood(uint64_t sequence, const SubmitRequest& request,
@@ -215,18 +188,9 @@
 
   void Dispatch(Instant now);
   bool DispatchNext(const Demand& demand, Backlog* backlog, Instant now);
-  Executor* ChooseExecutor(const Demand& demand, Instant now,
-                           Incarnation* incarnation);
-  Executor* OwnExecutorWhileStopping(const Demand& demand, Instant now,
-                                     Incarnation* incarnation);
-  uint32_t RoomAt(const Executor& executor, Instant now) const;
-  static void NoteRefusal(Executor* executor, Instant now);
-  uint32_t FreePlacesAt(const Executor& executor, Instant now) const;
-  uint32_t OutstandingAt(const Executor& executor, Instant now) const;
-  void UpdateEstimates(Instant now);
-  void GrantTo(Incarnation incarnation, Executor* executor, TaskRef ref,
+  void GrantTo(Incarnation incarnation, ExecutorEntry* executor, TaskRef ref,
                Instant now);
-  GrantNumber WatermarkOf(const Executor& executor) const;
+  GrantNumber WatermarkOf(const ExecutorEntry& executor) const;
 
   void OnStatus(Incarnation executor, GrantStatus status, Instant now);
   void CloseGrant(GrantNumber number);
@@ -245,18 +209,14 @@
   void RetireAnswers(Instant now);
 
   HomeOptions options_;
-  std::unique_ptr<PlacementPolicy> policy_;
   Observer* observer_;
-  PlacementPolicy::Random random_;
+  ExecutorTable executors_;
   Minter minter_;
   bool is_warm_ = false;
   bool is_configured_ = false;
   Declarations declarations_;
   std::map<std::string, size_t> open_tasks_;  // Of each team.
   bool stopping_ = false;
-  // Means over executors and recent grants, to judge aged load reports.
-  double mean_others_ = 0;
-  double mean_grant_seconds_ = 0.1;
   GrantNumber next_grant_ = 1;
   size_t waiting_ = 0;
   size_t running_jobs_ = 0;
@@ -268,8 +228,6 @@
   std::deque<uint64_t> ended_;  // Oldest first.
   std::map<Demand, Backlog> backlogs_;
   std::unordered_map<GrantNumber, OpenGrant> grants_;
-  std::unordered_map<Incarnation, Executor> executors_;
-  std::map<Demand, Instant> offers_seen_;  // What executors offered, and when.
   std::vector<HomeAction> actions_;
 };
 
--- a/src/daemon/guard_role.cc
+++ b/src/daemon/guard_role.cc
@@ -49,6 +49,12 @@
   return options;
 }
 
+HttpResponse Accepted() {
+  HttpResponse response;
+  response.body = R"({"accepted":true})";
+  return response;
+}
+
 }  // namespace
 
 std::unique_ptr<RolePlugin> GuardRole::Make(Kernel* kernel) {
@@ -283,9 +289,7 @@
     executor_->SetDraining(drained_by_config_ || drained_by_command_, now);
   }
   home_->SetDeclarations(std::move(*declarations));
-  UpdateSelf(now);
-  ReportState(now);
-  Pump();
+  OnBackendChanged(now);
 }
 
 void GuardRole::UpdateSelf(Instant now) {
@@ -295,6 +299,13 @@
   home_->OnMember(membership.self(), true, now);
 }
 
+// Tells everyone of the backend server's new state.
+void GuardRole::OnBackendChanged(Instant now) {
+  UpdateSelf(now);
+  ReportState(now);
+  Pump();
+}
+
 void GuardRole::ReportState(Instant now) {
   const ServingState state = executor_->state(now);
   if (state == reported_state_) return;
@@ -333,26 +344,18 @@
   asio::post(kernel_->io, [this, a = std::move(*announcement)] {
     const Instant now = Clock::now();
     executor_->OnAnnouncement(a, now);
-    UpdateSelf(now);
-    ReportState(now);
-    Pump();
+    OnBackendChanged(now);
   });
-  HttpResponse response;
-  response.body = R"({"accepted":true})";
-  return response;
+  return Accepted();
 }
 
 HttpResponse GuardRole::OnWithdraw(const HttpRequest& /*request*/) {
   asio::post(kernel_->io, [this] {
     const Instant now = Clock::now();
     executor_->OnBackendGone(now);
-    UpdateSelf(now);
-    ReportState(now);
-    Pump();
+    OnBackendChanged(now);
   });
-  HttpResponse response;
-  response.body = R"({"accepted":true})";
-  return response;
+  return Accepted();
 }
 
 AdminReply GuardRole::OnAdmin(const AdminRequest& request) {
--- a/src/daemon/guard_role.h
+++ b/src/daemon/guard_role.h
@@ -55,6 +55,7 @@
   void OnConfig();
   void UpdateSelf(Instant now);
   void ReportState(Instant now);
+  void OnBackendChanged(Instant now);
 
   std::error_code StartHttp();
   HttpResponse OnAnnounce(const HttpRequest& request);
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -27,7 +27,7 @@
   }
 
   std::string WriteFile(const std::string& name, const std::string& text) {
-    const std::string path = cluster_->directory() + "/" + name;
+    std::string path = cluster_->directory() + "/" + name;
     std::ofstream(path) << text;
     return path;
   }
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -15,9 +15,11 @@
 
 using nlohmann::json;
 
+constexpr size_t kManyJobs = 20;
+
 class FailureTest : public testing::Test {
  protected:
-  void StartCluster(ClusterOptions options) {
+  void StartCluster(const ClusterOptions& options) {
     cluster_ = std::make_unique<Cluster>(options);
     ASSERT_TRUE(cluster_->WaitReady());
   }
@@ -245,6 +247,7 @@
 TEST_F(FailureTest, AGracefulStopOfOneGuardCutsNothingOff) {
   StartCluster(Guards(3));
   std::vector<std::string> ids;
+  ids.reserve(kManyJobs);
   for (int i = 0; i < 6; ++i) {
     ids.push_back(Submit("a" + std::to_string(i), 30, 50));
   }
@@ -260,10 +263,12 @@
 TEST_F(FailureTest, AWaveOfCancellationsIsAnsweredTruthfully) {
   StartCluster(Guards(2));
   std::vector<std::string> ids;
+  ids.reserve(kManyJobs);
   for (int i = 0; i < 20; ++i) {
     ids.push_back(Submit("a" + std::to_string(i), 20, 50));
   }
   std::vector<std::future<json>> answers;
+  answers.reserve(kManyJobs);
   for (const std::string& id : ids) {
     answers.push_back(std::async(std::launch::async, [this, id] {
       return cluster_->Ask(1, "DELETE",
@@ -271,6 +276,7 @@
     }));
   }
   std::vector<json> got;
+  got.reserve(kManyJobs);
   for (auto& answer : answers) got.push_back(answer.get());
   const std::string next = Submit("b", 10, 5);
   EXPECT_EQ(WaitAnswer(next)["state"], "complete");
--- a/tools/lib/usage.cc
+++ b/tools/lib/usage.cc
@@ -24,8 +24,9 @@
   usage.cpu_seconds = ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   while (std::getline(status, line)) {
-    if (line.starts_with("VmHWM:"))
+    if (line.starts_with("VmHWM:")) {
       usage.peak_mb = std::stod(line.substr(6)) / 1024;
+    }
   }
   return usage;
 }
