Keep a quarter of an entry's threads for submissions that exist

Cause: the reason entry_overloaded was declared and never given; with every thread waiting on new work, nobody could ask for an answer, and requests queued without a word. New submissions are refused past three quarters of the threads, with Retry-After; hand-ins and questions go on. A repeated PUT is never refused this way: an earlier copy of it may have run.

Measured: BadInputTest.AnEntryKeepsThreadsForWhatItHasTaken, 6 of 8 threads held, the seventh new request is refused, nothing of it started.

--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry_role.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/post.hpp>
 #include <charconv>
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr Millis kCallTick{50};
+// One thread in so many is kept from new work.
+constexpr int kThreadsPerReserved = 4;
 constexpr Millis kLongestWait{60'000};
 // Beyond the caller's wait, for the way to the home and back.
 constexpr Millis kReplyMargin{10'000};
@@ -186,8 +189,18 @@
   return ProblemResponse(reason, findings, later ? kRetryAfter : Millis(0));
 }
 
+// Why a request that starts something new is not taken. A part of the threads
+// is kept for requests about submissions that exist.
+Reason EntryRole::NewWorkRefusal() const {
+  if (stopping_) return Reason::kStopping;
+  const auto threads = static_cast<int>(kernel_->settings.entry_threads);
+  const int limit = threads - std::max(1, threads / kThreadsPerReserved);
+  return in_progress_ > limit ? Reason::kEntryOverloaded : Reason::kNone;
+}
+
 HttpResponse EntryRole::OnMint(const HttpRequest& /*request*/) {
-  if (stopping_) return Refuse(Reason::kStopping);
+  const Reason refusal = NewWorkRefusal();
+  if (refusal != Reason::kNone) return Refuse(refusal);
   const Result<MintedId> minted = ids_.Take();
   if (!minted) return Refuse(static_cast<Reason>(minted.error().value()));
   HttpResponse response;
@@ -243,7 +256,8 @@
 }
 
 HttpResponse EntryRole::OnRun(const HttpRequest& request) {
-  if (stopping_) return Refuse(Reason::kStopping);
+  const Reason refusal = NewWorkRefusal();
+  if (refusal != Reason::kNone) return Refuse(refusal);
   Checked<JobSpec> job = ParseJob(request.body);
   if (!job) return Refuse(Reason::kMalformedRequest, job.error());
   if (!job->repeatable) return Refuse(Reason::kOneShotNotRepeatable);
--- a/src/daemon/entry_role.h
+++ b/src/daemon/entry_role.h
@@ -55,6 +55,7 @@
   HttpResponse OnGet(const HttpRequest& request);
   HttpResponse OnDelete(const HttpRequest& request);
   HttpResponse OnRun(const HttpRequest& request);
+  Reason NewWorkRefusal() const;
   HttpResponse Refuse(Reason reason, const Findings& findings = {});
   HttpResponse Submit(const SubmissionId& id, JobSpec job, Millis wait);
   // Sends a request about a submission to its home.
@@ -73,7 +74,7 @@
   std::unique_ptr<HttpServer> http_;
   std::atomic<bool> is_ready_{false};
   std::atomic<bool> stopping_{false};
-  mutable std::atomic<int> in_progress_{0};
+  std::atomic<int> in_progress_{0};
 };
 
 }  // namespace qs
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <thread>
+
 #include "lib/cluster.h"
 #include "quetzalspindle/ids.h"
 
@@ -135,6 +137,39 @@
   ExpectStillServing();
 }
 
+TEST_F(BadInputTest, AnEntryKeepsThreadsForWhatItHasTaken) {
+  // Eight threads: six may hold new work, two are kept. The tasks last until
+  // the backend server is told to go on.
+  const Address backend = cluster_->backend_http(0);
+  Cluster::Call(backend, "POST", "/control", R"({"hang":true})");
+  std::vector<std::thread> callers;
+  std::vector<json> answers(6);
+  for (size_t i = 0; i < answers.size(); ++i) {
+    callers.emplace_back([&, i] {
+      answers[i] = cluster_->Ask(0, "POST", "/v1/run",
+                                 JobBody("w" + std::to_string(i), 1, 1));
+    });
+  }
+  const std::string body = JobBody("late", 1, 1);
+  json refused;
+  EXPECT_TRUE(WaitUntil([&] {
+    if (cluster_->Starts().size() < answers.size()) return false;
+    refused = cluster_->Ask(0, "POST", "/v1/run", body);
+    return true;
+  }));
+  EXPECT_EQ(refused.value("reason", ""), "entry_overloaded") << refused;
+  EXPECT_EQ(refused.value("outcome", ""), "not_run");
+  EXPECT_EQ(Cluster::Call(cluster_->entry_http(0), "GET", "/healthz").status,
+            200);
+  Cluster::Call(backend, "POST", "/control", R"({"hang":false})");
+  for (std::thread& caller : callers) caller.join();
+  for (const json& answer : answers) {
+    EXPECT_EQ(answer.value("state", ""), "complete") << answer;
+  }
+  EXPECT_FALSE(cluster_->Starts().contains("late-0"));
+  ExpectStillServing();
+}
+
 TEST_F(BadInputTest, SlowAndHalfClosedConnectionsHoldUpNobody) {
   std::vector<std::unique_ptr<RawConnection>> slow;
   for (int i = 0; i < 4; ++i) {
