--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -132,6 +132,7 @@
     if (is_live != peer.is_live) changed = true;
     peer.is_live = is_live;
     if (silence >= options_.forget_after) {
+      forgotten_.push_back(entry->first);
       entry = peers_.erase(entry);
     } else {
       ++entry;
@@ -140,4 +141,8 @@
   return changed;
 }
 
+std::vector<Address> Membership::TakeForgotten() {
+  return std::exchange(forgotten_, {});
+}
+
 }  // namespace qs
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -54,6 +54,8 @@
   std::vector<Address> ChooseTargets();
   // Re-judges who is live. Returns whether that changed for any member.
   bool OnTimer(Instant now);
+  // The addresses dropped since the last call.
+  std::vector<Address> TakeForgotten();
 
  private:
   Gossip MakeGossip(bool want_reply) const;
@@ -65,6 +67,7 @@
   std::minstd_rand random_;
   std::unordered_map<Address, Peer> peers_;
   std::vector<Address> seeds_;
+  std::vector<Address> forgotten_;
 };
 
 }  // namespace qs
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -112,6 +112,9 @@
 
 void Node::GossipRound(Instant now) {
   const bool changed = membership_.OnTimer(now);
+  for (const Address address : membership_.TakeForgotten()) {
+    network_->DropLink(address);
+  }
   for (const SendGossip& send : membership_.OnRound(now)) {
     network_->Send(send.to, send.gossip);
   }
