--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -120,7 +120,7 @@
 };
 
 TEST_F(MembershipSpreadTest, EveryMemberLearnsOfEveryOther) {
-  constexpr size_t kAllPairs = kMembers * (kMembers - 1);
+  constexpr size_t kAllPairs = size_t{kMembers} * (kMembers - 1);
   for (int i = 0; i < 60 && Pairs(false) < kAllPairs; ++i) Round();
   EXPECT_EQ(Pairs(false), kAllPairs);
 }
