Read the configuration once for each watch, and drop dead code

Cause: reading the whole change again. The entry's watch read the same key twice, once for the revision and once for the document; ConfigStore::Read now tells the revision, which saves one counted call for each start and reconnection. qsctl diff and apply began with the same six lines, now one function. PeerNetwork::link_count and session_count, Backlog::size(team) and ReasonFromName had no caller and are gone. Behaviour is the same.

--- a/include/quetzalspindle/reason.h
+++ b/include/quetzalspindle/reason.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string_view>
 #include <system_error>
 
@@ -77,9 +76,6 @@
 // The snake_case name used in JSON, logs and metric labels.
 std::string_view ReasonName(Reason reason);
 
-// The reason of a name; empty for a name that no reason has.
-std::optional<Reason> ReasonFromName(std::string_view name);
-
 // One English sentence for people.
 std::string_view ReasonText(Reason reason);
 
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -130,13 +130,6 @@
   return row == nullptr ? "unassigned" : row->name;
 }
 
-std::optional<Reason> ReasonFromName(std::string_view name) {
-  for (const ReasonRow& row : kReasons) {
-    if (row.name == name) return row.reason;
-  }
-  return std::nullopt;
-}
-
 std::string_view ReasonText(Reason reason) {
   const ReasonRow* row = FindRow(reason);
   return row == nullptr ? "unassigned reason" : row->text;
--- a/src/core/backlog.cc
+++ b/src/core/backlog.cc
@@ -36,9 +36,4 @@
   return task;
 }
 
-size_t Backlog::size(const std::string& team) const {
-  const auto queue = teams_.find(team);
-  return queue == teams_.end() ? 0 : queue->second.tasks.size();
-}
-
 }  // namespace qs
--- a/src/core/backlog.h
+++ b/src/core/backlog.h
@@ -21,7 +21,6 @@
  public:
   bool empty() const { return size_ == 0; }
   size_t size() const { return size_; }
-  size_t size(const std::string& team) const;
 
   void Push(const std::string& team, TaskRef task);
   // For a task that came back: it goes before the other tasks of its team.
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -201,14 +201,21 @@
   }
 }
 
+// Reads the file and the configuration in force. Returns an exit code other
+// than kExitOk, with the fault printed, when one cannot be had.
+int ReadBoth(const Options& options, std::string* text,
+             qs::Declarations* declarations, json* config) {
+  if (!ReadDeclarations(options.target, text, declarations)) {
+    return kExitUsage;
+  }
+  return Request(options, "GET", "/v1/admin/config", config);
+}
+
 int Diff(const Options& options) {
   std::string text;
   qs::Declarations declarations;
-  if (!ReadDeclarations(options.target, &text, &declarations)) {
-    return kExitUsage;
-  }
   json config;
-  const int code = Request(options, "GET", "/v1/admin/config", &config);
+  const int code = ReadBoth(options, &text, &declarations, &config);
   if (code != kExitOk) return code;
   PrintDiff(InForce(config), declarations);
   return kExitOk;
@@ -277,11 +284,8 @@
 int Apply(const Options& options) {
   std::string text;
   qs::Declarations declarations;
-  if (!ReadDeclarations(options.target, &text, &declarations)) {
-    return kExitUsage;
-  }
   json config;
-  const int code = Request(options, "GET", "/v1/admin/config", &config);
+  const int code = ReadBoth(options, &text, &declarations, &config);
   if (code != kExitOk) return code;
   const std::string change_id =
       options.change_id.empty() ? NewChangeId() : options.change_id;
--- a/src/daemon/config_agent.cc
+++ b/src/daemon/config_agent.cc
@@ -36,14 +36,12 @@
 }
 
 void ConfigAgent::Follow() {
-  const Result<StoreRange> range = store_->ReadPrefix(ConfigStore::kKey);
-  if (!range) return;
   const Result<StoredConfig> present = ConfigStore(store_.get()).Read();
   if (!present) return;
   on_config_(*present);
-  // From the revision of the first read on, so that nothing falls between.
+  // From the revision of the read on, so that nothing falls between.
   (void)store_->Watch(
-      ConfigStore::kKey, range->revision + 1,
+      ConfigStore::kKey, present->store_revision + 1,
       [this](const StoreEntry& entry) {
         const Result<StoredConfig> config = ConfigStore::Decode(entry);
         if (config) on_config_(*config);
--- a/src/net/peer_network.h
+++ b/src/net/peer_network.h
@@ -57,8 +57,6 @@
   // while the link does not stand.
   bool Send(Address address, const Message& message);
   void SendToSession(uint64_t session, const Message& message);
-  size_t link_count() const { return links_.size(); }
-  size_t session_count() const { return sessions_.size(); }
   // Whether every queued byte has left.
   bool IsFlushed() const;
   void Close();
--- a/src/platform/config_store.cc
+++ b/src/platform/config_store.cc
@@ -53,12 +53,13 @@
 Result<StoredConfig> ConfigStore::Read() const {
   const Result<StoreRange> range = store_->ReadPrefix(kKey);
   if (!range) return tl::unexpected(range.error());
+  Result<StoredConfig> config = StoredConfig{};
+  config->version = Configuration::kInitial;
   for (const StoreEntry& entry : range->entries) {
-    if (entry.key == kKey) return Decode(entry);
+    if (entry.key == kKey) config = Decode(entry);
   }
-  StoredConfig initial;
-  initial.version = Configuration::kInitial;
-  return initial;
+  if (config) config->store_revision = range->revision;
+  return config;
 }
 
 ChangeOutcome ConfigStore::Apply(const ConfigChange& change) const {
--- a/src/platform/config_store.h
+++ b/src/platform/config_store.h
@@ -17,6 +17,8 @@
   std::vector<std::string>
       history;               // Ids of the changes before it, newest last.
   int64_t mod_revision = 0;  // Zero when nothing was ever stored.
+  int64_t store_revision =
+      0;  // Of the whole store at Read; a watch goes on after.
 };
 
 // A change that an operator asks for.
