--- /dev/null
+++ b/include/quetzalspindle/deployment.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "quetzalspindle/address.h"
+#include "quetzalspindle/caller_protocol.h"
+#include "quetzalspindle/catalog.h"
+#include "quetzalspindle/platform_store.h"
+#include "quetzalspindle/result.h"
+#include "quetzalspindle/worker_protocol.h"
+
+namespace qs {
+
+// What a platform speaks. A plug-in translates; it decides nothing. Plug-ins
+// register by name, and the settings choose one.
+class Deployment {
+ public:
+  virtual ~Deployment() = default;
+
+  virtual const CallerProtocol& callers() const = 0;
+  virtual const WorkerProtocol& workers() const = 0;
+  // Where the operators write the catalog, and how it is read.
+  virtual std::string catalog_key() const = 0;
+  Checked<Catalog> DecodeCatalog(const std::string& document) const {
+    return OnDecodeCatalog(document);
+  }
+  std::unique_ptr<PlatformStore> MakeStore(Address store,
+                                           Millis timeout) const {
+    return OnMakeStore(store, timeout);
+  }
+
+ private:
+  virtual Checked<Catalog> OnDecodeCatalog(
+      const std::string& document) const = 0;
+  virtual std::unique_ptr<PlatformStore> OnMakeStore(Address store,
+                                                     Millis timeout) const = 0;
+};
+
+using DeploymentFactory = std::unique_ptr<Deployment> (*)();
+
+// The plug-ins linked into the program.
+class DeploymentRegistry {
+ public:
+  static DeploymentRegistry& Instance();
+
+  // Returns true, so that a namespace-scope constant can register a plug-in.
+  bool Register(std::string name, DeploymentFactory factory);
+  // Null for an unknown name.
+  std::unique_ptr<Deployment> Make(const std::string& name) const;
+  std::vector<std::string> names() const;
+
+ private:
+  struct Row {
+    std::string name;
+    DeploymentFactory factory;
+  };
+  std::vector<Row> rows_;
+};
+
+}  // namespace qs
--- a/include/quetzalspindle/reason.h
+++ b/include/quetzalspindle/reason.h
@@ -33,6 +33,8 @@
   kUnknownTeam = 9,
   kDeadlineTooLong = 10,
   kOverQuotaForGood = 11,
+  kNoSuchQueue = 12,
+  kNotSupported = 13,
   // Refused: try later.
   kNoGuardAvailable = 20,
   kHomeOverloaded = 21,
@@ -41,6 +43,7 @@
   kWarmingUp = 24,
   kNoConfiguration = 25,
   kEntryOverloaded = 26,
+  kWouldEndTooLate = 27,
   // Not run: an executor gave the task back before it started.
   kExecutorDraining = 40,
   kExecutorQueueFull = 41,
@@ -51,13 +54,22 @@
   kGrantLost = 46,
   kWithdrawn = 47,
   kWrongIncarnation = 48,
+  kStaleAttempt = 49,
+  kFenced = 50,
+  kHomeSilent = 51,
+  kOrderLate = 52,
   // Not run: the submission ended first.
   kDeadlinePassed = 60,
   kCancelled = 61,
   kJobStopped = 62,
+  kCallerLeft = 63,
+  kWaitedTooLong = 64,
   // Ran and failed.
   kBackendFailed = 80,
   kBackendRejected = 81,
+  kAttemptsExhausted = 82,
+  kRunInterrupted = 83,
+  kRunStalled = 84,
   // Unknown.
   kBackendDisconnected = 100,
   kBackendTimeout = 101,
@@ -71,6 +83,9 @@
   kRunningAtDeadline = 109,
   kRunningAtCancel = 110,
   kNotHandedIn = 111,
+  kWorkerLost = 112,
+  kGivenUpRunning = 113,
+  kEntrySuspended = 114,
 };
 
 // The snake_case name used in JSON, logs and metric labels.
--- a/src/core/breaker.cc
+++ b/src/core/breaker.cc
@@ -45,4 +45,8 @@
   probe_at_ = now + pause_;
 }
 
+void Breaker::Trip(Instant now) {
+  if (!open_) Open(now);
+}
+
 }  // namespace qs
--- a/src/core/breaker.h
+++ b/src/core/breaker.h
@@ -31,6 +31,8 @@
   bool Allow(Instant now);
   void OnSuccess();
   void OnFailure(Instant now);
+  // Opens a closed breaker whatever the run of failures.
+  void Trip(Instant now);
   // The allowed task ended without a verdict on the backend server.
   void OnProbeUnused();
 
--- a/src/daemon/config_agent.cc
+++ b/src/daemon/config_agent.cc
@@ -1,27 +1,39 @@
 #include "daemon/config_agent.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/log.h"
+#include "core/configuration.h"
+
 namespace qs {
 namespace {
 
-constexpr Millis kPause{1000};
 constexpr Millis kNap{50};
 
 }  // namespace
 
+ConfigSource ConfigSource::Declarations() {
+  StoredConfig initial;
+  initial.version = Configuration::kInitial;
+  return {ConfigStore::kKey, &ConfigStore::Decode, initial, Millis(1000)};
+}
+
 std::unique_ptr<ConfigAgent> ConfigAgent::Make(
-    std::unique_ptr<PlatformStore> store,
+    ConfigSource source, std::unique_ptr<PlatformStore> store,
     std::function<void(StoredConfig)> on_config) {
-  std::unique_ptr<ConfigAgent> agent(
-      new ConfigAgent(std::move(store), std::move(on_config)));
+  std::unique_ptr<ConfigAgent> agent(new ConfigAgent(
+      std::move(source), std::move(store), std::move(on_config)));
   agent->thread_ = std::thread([raw = agent.get()] { raw->Run(); });
   return agent;
 }
 
-ConfigAgent::ConfigAgent(std::unique_ptr<PlatformStore> store,
+ConfigAgent::ConfigAgent(ConfigSource source,
+                         std::unique_ptr<PlatformStore> store,
                          std::function<void(StoredConfig)> on_config)
-    : store_(std::move(store)), on_config_(std::move(on_config)) {}
+    : source_(std::move(source)),
+      store_(std::move(store)),
+      on_config_(std::move(on_config)) {}
 
 ConfigAgent::~ConfigAgent() {
   stopped_ = true;
@@ -36,21 +48,52 @@
 }
 
 void ConfigAgent::Follow() {
-  const Result<StoredConfig> present = ConfigStore(store_.get()).Read();
-  if (!present) return;
-  on_config_(*present);
+  const Result<StoreRange> range = store_->ReadPrefix(source_.key);
+  NoteReachable(range.has_value(), range ? std::error_code() : range.error());
+  if (!range) return;
+  const auto entry =
+      std::find_if(range->entries.begin(), range->entries.end(),
+                   [&](const StoreEntry& e) { return e.key == source_.key; });
+  if (entry != range->entries.end()) {
+    Deliver(*entry);
+  } else if (source_.initial) {
+    on_config_(*source_.initial);
+  }
   // From the revision of the read on, so that nothing falls between.
   (void)store_->Watch(
-      ConfigStore::kKey, present->store_revision + 1,
-      [this](const StoreEntry& entry) {
-        const Result<StoredConfig> config = ConfigStore::Decode(entry);
-        if (config) on_config_(*config);
+      source_.key, range->revision + 1,
+      [this](const StoreEntry& changed) {
+        if (changed.key == source_.key) Deliver(changed);
       },
       [this] { return !stopped_; });
 }
 
+void ConfigAgent::Deliver(const StoreEntry& entry) {
+  const Result<StoredConfig> config = source_.decode(entry);
+  if (config) {
+    on_config_(*config);
+    return;
+  }
+  Log(LogLevel::kError, "configuration_unreadable",
+      {{"key", entry.key},
+       {"revision", std::to_string(entry.mod_revision)},
+       {"error", config.error().message()}});
+}
+
+void ConfigAgent::NoteReachable(bool is_reachable,
+                                const std::error_code& error) {
+  if (is_reachable == was_reachable_) return;
+  was_reachable_ = is_reachable;
+  if (is_reachable) {
+    Log(LogLevel::kInfo, "store_regained", {});
+  } else {
+    Log(LogLevel::kWarn, "store_lost", {{"error", error.message()}});
+  }
+}
+
 void ConfigAgent::Pause() const {
-  for (Millis left = kPause; left > Millis(0) && !stopped_; left -= kNap) {
+  for (Millis left = source_.pause; left > Millis(0) && !stopped_;
+       left -= kNap) {
     std::this_thread::sleep_for(kNap);
   }
 }
--- a/src/daemon/config_agent.h
+++ b/src/daemon/config_agent.h
@@ -3,34 +3,52 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <thread>
 
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 namespace qs {
 
+// Where a configuration lies in the key-value service, and how it is read.
+struct ConfigSource {
+  std::string key;
+  std::function<Result<StoredConfig>(const StoreEntry&)> decode;
+  // What holds where nothing is stored; without it, nothing does.
+  std::optional<StoredConfig> initial;
+  Millis pause{1000};  // Between two tries to follow it.
+
+  // The operators' declarations.
+  static ConfigSource Declarations();
+};
+
 // An entry's watch on the configuration in the key-value service. Works on a
 // thread of its own and survives outages of the service.
 class ConfigAgent {
  public:
   // `on_config` is called on the agent's thread, for every version seen.
   static std::unique_ptr<ConfigAgent> Make(
-      std::unique_ptr<PlatformStore> store,
+      ConfigSource source, std::unique_ptr<PlatformStore> store,
       std::function<void(StoredConfig)> on_config);
   ~ConfigAgent();
   ConfigAgent(const ConfigAgent&) = delete;
   ConfigAgent& operator=(const ConfigAgent&) = delete;
 
  private:
-  ConfigAgent(std::unique_ptr<PlatformStore> store,
+  ConfigAgent(ConfigSource source, std::unique_ptr<PlatformStore> store,
               std::function<void(StoredConfig)> on_config);
 
   void Run();
   // Reads the present version, then delivers changes until the watch ends.
   void Follow();
+  void Deliver(const StoreEntry& entry);
   void Pause() const;
+  void NoteReachable(bool is_reachable, const std::error_code& error);
 
+  ConfigSource source_;
   std::unique_ptr<PlatformStore> store_;
+  bool was_reachable_ = true;
   std::function<void(StoredConfig)> on_config_;
   std::atomic<bool> stopped_{false};
   std::thread thread_;
--- a/src/daemon/config_api.cc
+++ b/src/daemon/config_api.cc
@@ -4,8 +4,8 @@
 
 #include "http/job_json.h"
 #include "http/object_reader.h"
-#include "platform/etcd_store.h"
 #include "settings/declarations_text.h"
+#include "store/etcd_store.h"
 
 namespace qs {
 namespace {
--- a/src/daemon/config_api.h
+++ b/src/daemon/config_api.h
@@ -5,7 +5,7 @@
 #include "base/rcu_cell.h"
 #include "http/http_server.h"
 #include "kernel/kernel.h"
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 namespace qs {
 
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -11,7 +11,7 @@
 #include "daemon/operator_api.h"
 #include "daemon/process_routes.h"
 #include "http/job_json.h"
-#include "platform/etcd_store.h"
+#include "store/etcd_store.h"
 
 namespace qs {
 namespace {
@@ -61,7 +61,7 @@
 
 std::error_code EntryRole::OnStart() {
   auto node = Node::Make(
-      kernel_, Role::kEntry, this, [this] { OnMembers(); },
+      kernel_, Role::kEntry, Mesh::kGuards, this, [this] { OnMembers(); },
       [this] { OnConfig(); });
   if (!node) return node.error();
   node_ = std::move(*node);
@@ -137,6 +137,7 @@
   const Settings& settings = kernel_->settings;
   if (settings.platform_endpoint.empty()) return;
   config_agent_ = ConfigAgent::Make(
+      ConfigSource::Declarations(),
       EtcdStore::Make(settings.platform_endpoint, settings.platform_timeout),
       [this](StoredConfig config) {
         asio::post(kernel_->io, [this, c = std::move(config)] {
--- a/src/daemon/guard_role.cc
+++ b/src/daemon/guard_role.cc
@@ -85,7 +85,7 @@
         if (was_empty) asio::post(kernel_->io, [this] { OnTaskEnds(); });
       });
   auto node = Node::Make(
-      kernel_, Role::kGuard, this, [this] { OnMembers(); },
+      kernel_, Role::kGuard, Mesh::kGuards, this, [this] { OnMembers(); },
       [this] { OnConfig(); });
   if (!node) return node.error();
   node_ = std::move(*node);
--- /dev/null
+++ b/src/daemon/job_entry_role.cc
@@ -0,0 +1,207 @@
+#include "daemon/job_entry_role.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+#include "base/log.h"
+#include "daemon/config_agent.h"
+#include "daemon/job_front.h"
+#include "daemon/node.h"
+#include "daemon/process_routes.h"
+
+namespace qs {
+namespace {
+
+constexpr Millis kTick{20};
+constexpr uint32_t kProcessHttpThreads = 2;
+// Between the last answers of a stopping process and the end of its grace.
+constexpr Millis kStopMargin{900};
+constexpr Millis kConfigPause{250};
+
+const bool kRegistered =
+    RoleRegistry::Instance().Register("job_entry", &JobEntryRole::Make);
+
+}  // namespace
+
+std::unique_ptr<RolePlugin> JobEntryRole::Make(Kernel* kernel) {
+  (void)kRegistered;
+  return std::unique_ptr<RolePlugin>(new JobEntryRole(kernel));
+}
+
+JobEntryRole::JobEntryRole(Kernel* kernel) : kernel_(kernel) {}
+
+JobEntryRole::~JobEntryRole() { OnFinish(); }
+
+std::error_code JobEntryRole::OnStart() {
+  JobDeskOptions options;
+  options.worker_lease = kernel_->settings.worker_lease;
+  desk_ = std::make_unique<JobDesk>(
+      options, &kernel_->metrics, &log_,
+      static_cast<uint32_t>(kernel_->incarnation.value), Clock::now());
+  front_ = std::make_unique<JobFront>(kernel_, desk_.get());
+  auto node = Node::Make(
+      kernel_, Role::kEntry, Mesh::kAll, this, [] {}, [this] { OnConfig(); });
+  if (!node) return node.error();
+  node_ = std::move(*node);
+  kernel_->timers.Subscribe(kTick, [this](Instant now) { OnTick(now); });
+  StartConfigAgent();
+  return StartHttp();
+}
+
+void JobEntryRole::StartConfigAgent() {
+  ConfigSource source;
+  source.key = kernel_->deployment->catalog_key();
+  source.pause = kConfigPause;
+  source.decode = [deployment = kernel_->deployment.get()](
+                      const StoreEntry& entry) -> Result<StoredConfig> {
+    const Checked<Catalog> catalog = deployment->DecodeCatalog(entry.value);
+    if (!catalog) {
+      return tl::unexpected(std::make_error_code(std::errc::bad_message));
+    }
+    StoredConfig config;
+    config.version = catalog->version;
+    config.document = entry.value;
+    config.mod_revision = entry.mod_revision;
+    return config;
+  };
+  config_agent_ = ConfigAgent::Make(
+      std::move(source), kernel_->MakeStore(), [this](StoredConfig config) {
+        asio::post(kernel_->io, [this, c = std::move(config)] {
+          node_->OfferConfig(c.version, c.document);
+        });
+      });
+}
+
+std::error_code JobEntryRole::StartHttp() {
+  const auto is_ready = [this] { return is_ready_.load(); };
+  HttpServerOptions options = ProcessHttpOptions();
+  options.threads = kProcessHttpThreads;
+  options.address = kernel_->settings.http;
+  auto process =
+      HttpServer::Make(options, ProcessRoutes(&kernel_->metrics, is_ready));
+  if (!process) return process.error();
+  process_http_ = std::move(*process);
+  options.address = kernel_->settings.readiness;
+  std::vector<HttpServer::Route> routes;
+  routes.push_back({"GET", kernel_->deployment->callers().readiness_path(),
+                    [is_ready](const HttpRequest&) {
+                      HttpResponse response;
+                      constexpr int kUnavailable = 503;
+                      if (!is_ready()) response.status = kUnavailable;
+                      response.body = "{}";
+                      return response;
+                    }});
+  auto readiness = HttpServer::Make(options, std::move(routes));
+  if (!readiness) return readiness.error();
+  readiness_http_ = std::move(*readiness);
+  return front_->Start();
+}
+
+void JobEntryRole::OnBeginStop() {
+  stopping_ = true;
+  is_ready_ = false;
+  stop_began_ = Clock::now();
+  desk_->BeginStop(stop_began_ + kernel_->settings.stop_timeout - kStopMargin);
+  front_->BeginStop();
+}
+
+bool JobEntryRole::OnIsIdle() const {
+  const auto stopping_for = Clock::now() - stop_began_;
+  return stopping_for >= kernel_->settings.stop_accepting_after &&
+         desk_->held_jobs() == 0 && front_->in_progress() == 0;
+}
+
+void JobEntryRole::OnFinish() {
+  config_agent_.reset();
+  if (front_) front_->Stop();
+  if (process_http_) process_http_->Stop();
+  if (readiness_http_) readiness_http_->Stop();
+  if (node_) node_->Close();
+}
+
+void JobEntryRole::OnTick(Instant now) {
+  const Millis suspended = suspend_watch_.Check();
+  if (suspended > Millis(0)) {
+    Log(LogLevel::kWarn, "suspended",
+        {{"for_ms", std::to_string(suspended.count())}});
+    desk_->OnSuspended(now);
+  }
+  front_->CheckCallers(now);
+  if (stopping_ && !gave_up_ &&
+      now - stop_began_ >= kernel_->settings.stop_timeout - kStopMargin) {
+    gave_up_ = true;
+    desk_->GiveUpAll(Reason::kStopping, now);
+  }
+  desk_->OnTimer(now);
+  Pump();
+}
+
+void JobEntryRole::OnConfig() {
+  const Configuration& configuration = node_->configuration();
+  Checked<Catalog> catalog =
+      kernel_->deployment->DecodeCatalog(configuration.document());
+  if (!catalog) {
+    Log(LogLevel::kError, "configuration_unreadable",
+        {{"version", std::to_string(configuration.version())},
+         {"findings", catalog.error().ToText()}});
+    return;
+  }
+  const auto shared = std::make_shared<const Catalog>(std::move(*catalog));
+  desk_->SetCatalog(shared, Clock::now());
+  front_->SetCatalog(shared);
+  if (!has_catalog_) {
+    has_catalog_ = true;
+    is_ready_ = !stopping_;
+    Log(LogLevel::kInfo, "ready",
+        {{"config_version", std::to_string(shared->version)}});
+  }
+  Pump();
+}
+
+// Peers.
+
+void JobEntryRole::OnLinkUp(Address address, const Hello& hello) {
+  if (hello.role != Role::kGuard) return;
+  guards_[hello.incarnation] = address;
+  desk_->OnGuardUp(address, hello.incarnation, Clock::now());
+  Pump();
+}
+
+void JobEntryRole::OnLinkDown(Address /*address*/, Incarnation incarnation) {
+  desk_->OnGuardDown(incarnation, Clock::now());
+  Pump();
+}
+
+void JobEntryRole::OnPeerGone(Address /*address*/, Incarnation incarnation) {
+  guards_.erase(incarnation);
+  desk_->OnGuardGone(incarnation, Clock::now());
+  Pump();
+}
+
+void JobEntryRole::OnLinkMessage(Address /*address*/, Incarnation incarnation,
+                                 Message message) {
+  const RunReport* report = std::get_if<RunReport>(&message);
+  if (report == nullptr) return;
+  desk_->OnReport(incarnation, *report, Clock::now());
+  Pump();
+}
+
+// Actions.
+
+void JobEntryRole::Pump() {
+  for (DeskAction& action : desk_->TakeActions(Clock::now())) {
+    std::visit([this](auto& a) { Perform(std::move(a)); }, action);
+  }
+}
+
+void JobEntryRole::Perform(SendOrders action) {
+  const auto address = guards_.find(action.guard);
+  if (address == guards_.end()) return;
+  node_->network().Send(address->second, action.orders);
+}
+
+void JobEntryRole::Perform(SendHeldAnswer action) {
+  front_->Answer(action.caller, action.answer);
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/job_entry_role.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <unordered_map>
+
+#include "daemon/log_decisions.h"
+#include "held/job_desk.h"
+#include "http/http_server.h"
+#include "kernel/kernel.h"
+#include "kernel/suspend_watch.h"
+#include "net/peer_network.h"
+
+namespace qs {
+
+class ConfigAgent;
+class JobFront;
+class Node;
+
+// The entry of a deployment: holds jobs for their callers and has them run at
+// the guards. Keeps nothing that must outlive it.
+class JobEntryRole final : public RolePlugin, private PeerHandler {
+ public:
+  static std::unique_ptr<RolePlugin> Make(Kernel* kernel);
+  ~JobEntryRole() override;
+
+ private:
+  explicit JobEntryRole(Kernel* kernel);
+
+  std::error_code OnStart() override;
+  void OnBeginStop() override;
+  bool OnIsIdle() const override;
+  void OnFinish() override;
+
+  void OnLinkUp(Address address, const Hello& hello) override;
+  void OnLinkDown(Address address, Incarnation incarnation) override;
+  void OnPeerGone(Address address, Incarnation incarnation) override;
+  void OnLinkMessage(Address address, Incarnation incarnation,
+                     Message message) override;
+  void OnSessionUp(uint64_t /*session*/, const Hello& /*hello*/) override {}
+  void OnSessionMessage(uint64_t /*session*/, const Hello& /*hello*/,
+                        Message /*message*/) override {}
+  void OnSessionDown(uint64_t /*session*/, const Hello& /*hello*/) override {}
+
+  void OnTick(Instant now);
+  void OnConfig();
+  void Pump();
+  void Perform(SendOrders action);
+  void Perform(SendHeldAnswer action);
+  void StartConfigAgent();
+  std::error_code StartHttp();
+
+  Kernel* kernel_;
+  LogDecisions log_;
+  SuspendWatch suspend_watch_;
+  std::unique_ptr<JobDesk> desk_;
+  std::unique_ptr<JobFront> front_;
+  std::unique_ptr<Node> node_;
+  std::unique_ptr<ConfigAgent> config_agent_;
+  std::unique_ptr<HttpServer> process_http_;
+  std::unique_ptr<HttpServer> readiness_http_;
+  std::unordered_map<Incarnation, Address> guards_;
+  bool has_catalog_ = false;
+  bool stopping_ = false;
+  bool gave_up_ = false;
+  Instant stop_began_;
+  std::atomic<bool> is_ready_{false};
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/job_front.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include "base/rcu_cell.h"
+#include "http/http_server.h"
+#include "http/peer_watch.h"
+#include "kernel/kernel.h"
+#include "quetzalspindle/catalog.h"
+#include "quetzalspindle/held_job.h"
+
+namespace qs {
+
+class JobDesk;
+
+// The callers' side of an entry: HTTP threads decode requests, hand jobs to the
+// desk on the core thread, and wait for their answers.
+class JobFront {
+ public:
+  // Both must outlive the front.
+  JobFront(Kernel* kernel, JobDesk* desk);
+
+  // On the core thread.
+  void SetCatalog(std::shared_ptr<const Catalog> catalog);
+  void Answer(uint64_t caller, const HeldAnswer& answer);
+  // Tells the desk of callers that have left.
+  void CheckCallers(Instant now);
+  // Answers end their connections from now on, so that callers go elsewhere.
+  void BeginStop() { is_stopping_ = true; }
+
+  std::error_code Start();
+  void Stop();
+
+  // Requests whose answer was not yet written.
+  int in_progress() const { return in_progress_; }
+
+ private:
+  using CatalogPointer = std::shared_ptr<const Catalog>;
+
+  HttpResponse OnRequest(const HttpRequest& request);
+  HttpResponse Serve(const HttpRequest& request);
+  HttpResponse OnHandIn(const Catalog& catalog, const QueueDeclaration& queue,
+                        const std::string& id, const HttpRequest& request);
+  HttpResponse OnPending(const std::string& queue);
+  HttpResponse Refuse(Reason reason, const std::string& place,
+                      const std::string& detail);
+
+  Kernel* kernel_;
+  JobDesk* desk_;
+  RcuCell<CatalogPointer> catalog_;
+  PeerWatch watch_;
+  std::atomic<uint64_t> next_caller_{1};
+  std::atomic<int> in_progress_{0};
+  std::atomic<bool> is_stopping_{false};
+  std::mutex mutex_;
+  std::unordered_map<uint64_t, std::shared_ptr<std::promise<HeldAnswer>>>
+      waiting_;
+  std::unique_ptr<HttpServer> http_;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/job_guard_role.cc
@@ -0,0 +1,219 @@
+#include "daemon/job_guard_role.h"
+
+#include <asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+#include "base/log.h"
+#include "daemon/node.h"
+#include "daemon/process_routes.h"
+
+namespace qs {
+namespace {
+
+constexpr Millis kTick{20};
+constexpr uint32_t kProcessHttpThreads = 2;
+
+constexpr int kBadRequest = 400;
+
+const bool kRegistered =
+    RoleRegistry::Instance().Register("job_guard", &JobGuardRole::Make);
+
+// Rises over the restarts of this process. A wall clock that went back is made
+// up for by the keeper, which raises a token that the worker refuses.
+uint64_t FirstFence() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<Millis>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+std::unique_ptr<RolePlugin> JobGuardRole::Make(Kernel* kernel) {
+  (void)kRegistered;
+  return std::unique_ptr<RolePlugin>(new JobGuardRole(kernel));
+}
+
+JobGuardRole::JobGuardRole(Kernel* kernel) : kernel_(kernel) {}
+
+JobGuardRole::~JobGuardRole() { OnFinish(); }
+
+std::error_code JobGuardRole::OnStart() {
+  RunKeeperOptions options;
+  options.longest_lease = kernel_->settings.worker_lease;
+  keeper_ =
+      std::make_unique<RunKeeper>(options, FirstFence(), &log_, Clock::now());
+  caller_ = std::make_unique<WorkerCaller>(
+      kernel_->settings.worker, &kernel_->deployment->workers(),
+      [this](WorkerAnswer answer) {
+        bool was_empty = false;
+        {
+          const std::lock_guard lock(answers_mutex_);
+          was_empty = answers_.empty();
+          answers_.push_back(std::move(answer));
+        }
+        if (was_empty) asio::post(kernel_->io, [this] { OnAnswers(); });
+      });
+  auto node = Node::Make(
+      kernel_, Role::kGuard, Mesh::kNone, this, [] {}, [] {});
+  if (!node) return node.error();
+  node_ = std::move(*node);
+  kernel_->timers.Subscribe(kTick, [this](Instant now) { OnTick(now); });
+  is_ready_ = true;
+  return StartHttp();
+}
+
+void JobGuardRole::OnBeginStop() {
+  is_ready_ = false;
+  keeper_->Stop(Clock::now());
+  Pump();
+}
+
+bool JobGuardRole::OnIsIdle() const {
+  return keeper_->is_idle() && node_->network().IsFlushed();
+}
+
+void JobGuardRole::OnFinish() {
+  if (caller_) caller_->Stop();
+  if (announce_http_) announce_http_->Stop();
+  if (process_http_) process_http_->Stop();
+  if (node_) node_->Close();
+}
+
+void JobGuardRole::OnTick(Instant now) {
+  const Millis suspended = suspend_watch_.Check();
+  if (suspended > Millis(0)) {
+    Log(LogLevel::kWarn, "suspended",
+        {{"for_ms", std::to_string(suspended.count())}});
+    keeper_->OnSuspended(now);
+  }
+  keeper_->OnTimer(now);
+  Pump();
+}
+
+// Homes.
+
+void JobGuardRole::OnSessionUp(uint64_t session, const Hello& hello) {
+  if (hello.role != Role::kEntry) return;
+  keeper_->OnSessionUp(session, hello.incarnation, Clock::now());
+  Pump();
+}
+
+void JobGuardRole::OnSessionMessage(uint64_t session, const Hello& /*hello*/,
+                                    Message message) {
+  RunOrders* orders = std::get_if<RunOrders>(&message);
+  if (orders == nullptr) return;
+  keeper_->OnOrders(session, std::move(*orders), Clock::now());
+  Pump();
+}
+
+void JobGuardRole::OnSessionDown(uint64_t session, const Hello& /*hello*/) {
+  keeper_->OnSessionDown(session, Clock::now());
+  Pump();
+}
+
+// The worker.
+
+void JobGuardRole::OnAnswers() {
+  std::vector<WorkerAnswer> answers;
+  {
+    const std::lock_guard lock(answers_mutex_);
+    answers.swap(answers_);
+  }
+  const Instant now = Clock::now();
+  struct Deliver {
+    RunKeeper* keeper;
+    Instant now;
+    void operator()(const StartAnswer& a) const {
+      keeper->OnStartReply(a.made, a.reply, now);
+    }
+    void operator()(const StopAnswer& a) const {
+      keeper->OnStopReply(a.made, a.reply, now);
+    }
+    void operator()(const HoldAnswer& a) const {
+      keeper->OnHoldReply(a.made, a.reply, a.sent, now);
+    }
+  };
+  for (const WorkerAnswer& answer : answers) {
+    std::visit(Deliver{keeper_.get(), now}, answer);
+  }
+  Pump();
+}
+
+void JobGuardRole::Pump() {
+  struct Perform {
+    JobGuardRole* role;
+    void operator()(MakeStart& a) const { role->caller_->Submit(std::move(a)); }
+    void operator()(MakeStop& a) const { role->caller_->Submit(std::move(a)); }
+    void operator()(MakeHold& a) const { role->caller_->Submit(std::move(a)); }
+    void operator()(SendReport& a) const {
+      role->node_->network().SendToSession(a.session, a.report);
+    }
+  };
+  for (KeeperAction& action : keeper_->TakeActions(Clock::now())) {
+    std::visit(Perform{this}, action);
+  }
+}
+
+std::error_code JobGuardRole::StartHttp() {
+  HttpServerOptions options = ProcessHttpOptions();
+  options.threads = kProcessHttpThreads;
+  options.address = kernel_->settings.http;
+  auto process = HttpServer::Make(
+      options,
+      ProcessRoutes(&kernel_->metrics, [this] { return is_ready_.load(); }));
+  if (!process) return process.error();
+  process_http_ = std::move(*process);
+  const WorkerProtocol& protocol = kernel_->deployment->workers();
+  std::vector<HttpServer::Route> routes;
+  routes.push_back(
+      {"POST", protocol.announce_prefix(),
+       [this](const HttpRequest& request) { return OnAnnounce(request); }});
+  routes.push_back(
+      {"POST", protocol.withdraw_prefix(),
+       [this](const HttpRequest& request) { return OnWithdraw(request); }});
+  options.address = kernel_->settings.announcements;
+  auto announce = HttpServer::Make(options, std::move(routes));
+  if (!announce) return announce.error();
+  announce_http_ = std::move(*announce);
+  return {};
+}
+
+HttpResponse JobGuardRole::OnAnnounce(const HttpRequest& request) {
+  const WorkerProtocol& protocol = kernel_->deployment->workers();
+  HttpResponse response;
+  response.body = protocol.AnnouncementAnswer();
+  Checked<WorkerAnnouncement> announcement =
+      protocol.DecodeAnnouncement(request.suffix, request.body);
+  if (announcement && announcement->address != kernel_->settings.worker) {
+    announcement = tl::unexpected(Findings(
+        "address",
+        announcement->address.ToString() + " is not the worker of this host"));
+  }
+  if (!announcement) {
+    kernel_->metrics.Refused(Reason::kMalformedRequest);
+    Log(LogLevel::kWarn, "announcement_refused",
+        {{"worker", request.suffix},
+         {"findings", announcement.error().ToText()}});
+    response.status = kBadRequest;
+    return response;
+  }
+  asio::post(kernel_->io, [this, a = std::move(*announcement)] {
+    keeper_->OnAnnouncement(a, Clock::now());
+    Pump();
+  });
+  return response;
+}
+
+HttpResponse JobGuardRole::OnWithdraw(const HttpRequest& request) {
+  asio::post(kernel_->io, [this, id = request.suffix] {
+    keeper_->OnWithdrawn(id, Clock::now());
+    Pump();
+  });
+  HttpResponse response;
+  response.body = kernel_->deployment->workers().AnnouncementAnswer();
+  return response;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/daemon/job_guard_role.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "daemon/log_decisions.h"
+#include "daemon/worker_caller.h"
+#include "held/run_keeper.h"
+#include "http/http_server.h"
+#include "kernel/kernel.h"
+#include "kernel/suspend_watch.h"
+#include "net/peer_network.h"
+
+namespace qs {
+
+class Node;
+
+// The process beside a worker of a deployment: the only one that commands it.
+class JobGuardRole final : public RolePlugin, private PeerHandler {
+ public:
+  static std::unique_ptr<RolePlugin> Make(Kernel* kernel);
+  ~JobGuardRole() override;
+
+ private:
+  explicit JobGuardRole(Kernel* kernel);
+
+  std::error_code OnStart() override;
+  void OnBeginStop() override;
+  bool OnIsIdle() const override;
+  void OnFinish() override;
+
+  void OnLinkUp(Address /*address*/, const Hello& /*hello*/) override {}
+  void OnLinkDown(Address /*address*/, Incarnation /*incarnation*/) override {}
+  void OnPeerGone(Address /*address*/, Incarnation /*incarnation*/) override {}
+  void OnLinkMessage(Address /*address*/, Incarnation /*incarnation*/,
+                     Message /*message*/) override {}
+  void OnSessionUp(uint64_t session, const Hello& hello) override;
+  void OnSessionMessage(uint64_t session, const Hello& hello,
+                        Message message) override;
+  void OnSessionDown(uint64_t session, const Hello& hello) override;
+
+  void OnTick(Instant now);
+  void OnAnswers();
+  void Pump();
+  std::error_code StartHttp();
+  HttpResponse OnAnnounce(const HttpRequest& request);
+  HttpResponse OnWithdraw(const HttpRequest& request);
+
+  Kernel* kernel_;
+  LogDecisions log_;
+  SuspendWatch suspend_watch_;
+  std::unique_ptr<RunKeeper> keeper_;
+  std::unique_ptr<WorkerCaller> caller_;
+  std::unique_ptr<Node> node_;
+  std::unique_ptr<HttpServer> process_http_;
+  std::unique_ptr<HttpServer> announce_http_;
+  std::atomic<bool> is_ready_{false};
+
+  std::mutex answers_mutex_;
+  std::vector<WorkerAnswer> answers_;  // Not yet seen by the core thread.
+};
+
+}  // namespace qs
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -92,8 +92,8 @@
   bool reference = false;
   app.set_version_flag("--version", qs::kVersion);
   app.add_option("-c,--config", path, "settings file (INI)");
-  app.add_option("--role", role, "entry or guard; must agree with the settings")
-      ->check(CLI::IsMember({"entry", "guard"}));
+  app.add_option("--role", role, "role; must agree with the settings")
+      ->check(CLI::IsMember({"entry", "guard", "job_entry", "job_guard"}));
   app.add_flag("--check", check,
                "check the settings, report every fault, exit");
   app.add_flag("--print-settings", reference,
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -7,7 +7,6 @@
 #include "base/log.h"
 #include "daemon/platform_agent.h"
 #include "kernel/kernel.h"
-#include "platform/etcd_store.h"
 
 namespace qs {
 namespace {
@@ -40,12 +39,13 @@
 
 }  // namespace
 
-Result<std::unique_ptr<Node>> Node::Make(Kernel* kernel, Role role,
+Result<std::unique_ptr<Node>> Node::Make(Kernel* kernel, Role role, Mesh mesh,
                                          PeerHandler* handler,
                                          std::function<void()> on_members,
                                          std::function<void()> on_config) {
-  std::unique_ptr<Node> node(new Node(
-      kernel, role, handler, std::move(on_members), std::move(on_config)));
+  std::unique_ptr<Node> node(new Node(kernel, role, mesh, handler,
+                                      std::move(on_members),
+                                      std::move(on_config)));
   const Hello self{kernel->incarnation, kernel->settings.listen, role};
   auto network = PeerNetwork::Make(&kernel->io, self, node.get());
   if (!network) return tl::unexpected(network.error());
@@ -61,9 +61,10 @@
   return node;
 }
 
-Node::Node(Kernel* kernel, Role role, PeerHandler* handler,
+Node::Node(Kernel* kernel, Role role, Mesh mesh, PeerHandler* handler,
            std::function<void()> on_members, std::function<void()> on_config)
     : kernel_(kernel),
+      mesh_(mesh),
       handler_(handler),
       on_members_(std::move(on_members)),
       on_config_(std::move(on_config)),
@@ -88,7 +89,8 @@
 
 void Node::StartPlatformAgent() {
   const Settings& settings = kernel_->settings;
-  if (settings.platform_endpoint.empty()) {
+  std::unique_ptr<PlatformStore> store = kernel_->MakeStore();
+  if (store == nullptr) {
     read_platform_ = true;
     return;
   }
@@ -96,8 +98,6 @@
   options.address = settings.listen;
   options.zone = settings.zone;
   options.role = membership_.self().role;
-  auto store =
-      EtcdStore::Make(settings.platform_endpoint, settings.platform_timeout);
   platform_agent_ = PlatformAgent::Make(
       options, std::move(store), [this](std::vector<Address> members) {
         asio::post(kernel_->io, [this, members = std::move(members)] {
@@ -133,12 +133,17 @@
   *reply = membership_.OnGossip(gossip, Clock::now(), &changed);
   if (changed) {
     for (const auto& [address, peer] : membership_.peers()) {
-      if (peer.record.role == Role::kGuard) network_->KeepLink(address);
+      if (KeepsLinkTo(peer.record)) network_->KeepLink(address);
     }
   }
   on_members_();
 }
 
+bool Node::KeepsLinkTo(const MemberRecord& record) const {
+  if (mesh_ == Mesh::kAll) return true;
+  return mesh_ == Mesh::kGuards && record.role == Role::kGuard;
+}
+
 bool Node::IsBehind(const Gossip& gossip) const {
   // A gossip's first record is that of its sender.
   return !gossip.members.empty() &&
@@ -158,6 +163,12 @@
   for (const Address target : membership_.ChooseTargets()) {
     network_->Send(target, MakeOffer());
   }
+  // Entries are few and answer callers by it, so each is told at once.
+  for (const auto& [address, peer] : membership_.peers()) {
+    if (peer.is_live && peer.record.role == Role::kEntry) {
+      network_->Send(address, MakeOffer());
+    }
+  }
 }
 
 void Node::OnLinkUp(Address address, const Hello& hello) {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -18,6 +18,13 @@
 struct Kernel;
 class PlatformAgent;
 
+// To which members a process keeps links, beyond those that gossip uses.
+enum class Mesh : uint8_t {
+  kNone,
+  kGuards,  // For a process that gives work to guards.
+  kAll,
+};
+
 // The part of a process that all roles share: its connections, its membership
 // and its registration with the platform. Gossip ends here; all other messages
 // go to the handler. Lives on the core thread.
@@ -27,7 +34,7 @@
   // or their load changed, `on_config` after a version came into force. All
   // must outlive the node.
   static Result<std::unique_ptr<Node>> Make(Kernel* kernel, Role role,
-                                            PeerHandler* handler,
+                                            Mesh mesh, PeerHandler* handler,
                                             std::function<void()> on_members,
                                             std::function<void()> on_config);
   ~Node() override;
@@ -43,7 +50,7 @@
   void Close();
 
  private:
-  Node(Kernel* kernel, Role role, PeerHandler* handler,
+  Node(Kernel* kernel, Role role, Mesh mesh, PeerHandler* handler,
        std::function<void()> on_members, std::function<void()> on_config);
 
   void OnLinkUp(Address address, const Hello& hello) override;
@@ -62,8 +69,10 @@
   bool IsBehind(const Gossip& gossip) const;
   ConfigOffer MakeOffer() const;
   void StartPlatformAgent();
+  bool KeepsLinkTo(const MemberRecord& record) const;
 
   Kernel* kernel_;
+  Mesh mesh_;
   PeerHandler* handler_;
   std::function<void()> on_members_;
   std::function<void()> on_config_;
--- /dev/null
+++ b/src/held/admission.cc
@@ -0,0 +1,38 @@
+#include "held/admission.h"
+
+#include <algorithm>
+
+namespace qs {
+namespace {
+
+constexpr Millis kShortestRetry{1000};  // Retry-After has whole seconds.
+constexpr Millis kNoWorkerRetry{2000};  // About one heartbeat of a worker.
+constexpr int64_t kMillisPerCore = 1000;
+
+Millis TimeFor(uint64_t work, int64_t cpu_millis) {
+  return Millis(static_cast<int64_t>(work) * kMillisPerCore /
+                std::max<int64_t>(cpu_millis, 1));
+}
+
+}  // namespace
+
+AdmissionVerdict JudgeAdmission(const AdmissionInput& input) {
+  AdmissionVerdict verdict;
+  if (input.serving_cpu <= 0) {
+    verdict.refusal = Reason::kNoGuardAvailable;
+    verdict.retry_after = kNoWorkerRetry;
+    return verdict;
+  }
+  if (input.has_room) return verdict;
+  verdict.predicted_wait =
+      TimeFor(input.work_ahead + input.job_work, input.serving_cpu);
+  const Millis slack = std::max(input.objective - input.chain, Millis(0));
+  if (verdict.predicted_wait > slack) {
+    verdict.refusal = Reason::kWouldEndTooLate;
+    verdict.retry_after =
+        std::max(kShortestRetry, TimeFor(input.work_in_all, input.serving_cpu));
+  }
+  return verdict;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/held/decision_log.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace qs {
+
+// Takes a record of each decision that touches a request or changes what the
+// process believes. The deciding parts have no I/O; the daemon writes the log.
+class DecisionLog {
+ public:
+  using Field = std::pair<std::string_view, std::string>;
+
+  virtual ~DecisionLog() = default;
+
+  // `event` is a snake_case name; `fields` hold the request's id, the deciding
+  // inputs with their age or version, and the outcome.
+  void Note(std::string_view event, std::initializer_list<Field> fields) {
+    OnNote(event, fields);
+  }
+
+ private:
+  virtual void OnNote(std::string_view /*event*/,
+                      std::initializer_list<Field> /*fields*/) {}
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/held/job_desk.cc
@@ -0,0 +1,675 @@
+#include "held/job_desk.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "held/admission.h"
+#include "held/decision_log.h"
+
+namespace qs {
+namespace {
+
+constexpr int64_t kMillisPerCore = 1000;
+// Waiting tasks that are tried in a row without finding a worker.
+constexpr int kMaxMisses = 6;
+constexpr Millis kRestartRetry{1000};  // About the time until a peer is ready.
+
+Millis Elapsed(Instant from, Instant to) {
+  return std::chrono::duration_cast<Millis>(to - from);
+}
+
+Millis Until(Instant now, Instant then) {
+  return std::max(Elapsed(now, then), Millis(0));
+}
+
+std::string Text(uint64_t value) { return std::to_string(value); }
+
+std::string Text(Millis value) { return std::to_string(value.count()); }
+
+std::string Name(Reason reason) { return std::string(ReasonName(reason)); }
+
+std::string_view StateName(HeldState state) {
+  switch (state) {
+    case HeldState::kComplete:
+      return "complete";
+    case HeldState::kFailed:
+      return "failed";
+    case HeldState::kRefused:
+      break;
+  }
+  return "refused";
+}
+
+JobState ToJobState(HeldState state) {
+  switch (state) {
+    case HeldState::kComplete:
+      return JobState::kComplete;
+    case HeldState::kFailed:
+      return JobState::kFailed;
+    case HeldState::kRefused:
+      break;
+  }
+  return JobState::kRefused;
+}
+
+}  // namespace
+
+JobDesk::JobDesk(const JobDeskOptions& options, Observer* observer,
+                 DecisionLog* log, uint32_t seed, Instant now)
+    : options_(options),
+      observer_(observer),
+      log_(log),
+      started_(now),
+      workers_(options.workers, seed) {}
+
+// Callers.
+
+void JobDesk::SetCatalog(std::shared_ptr<const Catalog> catalog, Instant now) {
+  catalog_ = std::move(catalog);
+  // Tasks that wait follow the declaration in force; what runs goes on.
+  std::vector<uint64_t> removed;
+  for (auto& [number, job] : jobs_) {
+    const QueueDeclaration* queue = catalog_->Find(job.job.queue);
+    if (queue == nullptr) {
+      removed.push_back(number);
+      continue;
+    }
+    job.service = queue->service;
+    job.max_attempts = queue->max_attempts;
+  }
+  for (const uint64_t number : removed) {
+    Job& job = jobs_.at(number);
+    if (!job.may_have_run && job.ordered == 0) {
+      GiveUp(&job, Reason::kNoSuchQueue, now);
+    }
+  }
+}
+
+void JobDesk::OnJob(uint64_t caller, HeldJob job, Instant now) {
+  const auto same = job_by_id_.find(job.id);
+  if (same != job_by_id_.end()) {
+    // The same job again: its caller lost the connection and came back here.
+    Job& held = jobs_.at(same->second);
+    held.callers.push_back(caller);
+    job_by_caller_[caller] = held.number;
+    log_->Note("job_joined",
+               {{"job", job.id}, {"age_ms", Text(Elapsed(held.arrived, now))}});
+    return;
+  }
+  const QueueDeclaration* queue =
+      catalog_ == nullptr ? nullptr : catalog_->Find(job.queue);
+  if (queue == nullptr) {
+    const Reason reason =
+        catalog_ == nullptr ? Reason::kNoConfiguration : Reason::kNoSuchQueue;
+    AnswerCaller(caller, job.id, {HeldState::kRefused, reason, Millis(0)}, now);
+    return;
+  }
+  Millis retry_after{0};
+  const Reason refusal = Refusal(*queue, job, now, &retry_after);
+  if (refusal == Reason::kConstraintUnmet) {
+    AnswerCaller(caller, job.id, {HeldState::kFailed, refusal, Millis(0)}, now);
+  } else if (refusal != Reason::kNone) {
+    AnswerCaller(caller, job.id, {HeldState::kRefused, refusal, retry_after},
+                 now);
+  } else {
+    Admit(caller, *queue, std::move(job), now);
+    Dispatch(now);
+  }
+}
+
+Reason JobDesk::Refusal(const QueueDeclaration& queue, const HeldJob& job,
+                        Instant now, Millis* retry_after) const {
+  const Millis chain = ChainEstimate(job);
+  if (is_stopping_ && now + chain > finish_by_) {
+    *retry_after = kRestartRetry;
+    return Reason::kStopping;
+  }
+  if (jobs_.size() >= options_.max_jobs) {
+    *retry_after = kRestartRetry;
+    return Reason::kEntryOverloaded;
+  }
+  if (IsImpossible(queue.service, job, now)) return Reason::kConstraintUnmet;
+  const Millis objective =
+      std::chrono::duration_cast<Millis>(chain * queue.slack_factor) +
+      queue.latency_target;
+  AdmissionInput input;
+  input.serving_cpu = workers_.ServingCpu(queue.service, now);
+  input.chain = chain;
+  input.objective = objective;
+  input.useful = std::min(objective * options_.useful_objectives, job.patience);
+  const uint64_t others =
+      std::max(workers_.WaitingWorkOfAll(), waiting_work_) - waiting_work_;
+  const uint64_t queued = workers_.QueuedWork(queue.service, now);
+  const Instant start_by = now + objective - chain;
+  const uint64_t before = WorkBefore(start_by);
+  // Other entries' work is taken to be as urgent as the own.
+  const double share =
+      waiting_work_ == 0
+          ? 1.0
+          : static_cast<double>(before) / static_cast<double>(waiting_work_);
+  input.work_ahead = before + queued +
+                     static_cast<uint64_t>(static_cast<double>(others) * share);
+  input.work_in_all = waiting_work_ + others + queued;
+  for (const HeldStep& step : job.steps) {
+    input.job_work += static_cast<uint64_t>(StepWork(step) / kMillisPerCore);
+  }
+  input.has_room = input.work_in_all == 0;
+  const AdmissionVerdict verdict = JudgeAdmission(input);
+  if (verdict.refusal != Reason::kNone) {
+    *retry_after = verdict.retry_after;
+    log_->Note("job_not_admitted",
+               {{"job", job.id},
+                {"queue", queue.name},
+                {"reason", Name(verdict.refusal)},
+                {"predicted_wait_ms", Text(verdict.predicted_wait)},
+                {"objective_ms", Text(objective)},
+                {"chain_ms", Text(chain)},
+                {"work_ahead", Text(input.work_ahead)},
+                {"work_in_all", Text(input.work_in_all)},
+                {"serving_cpu", std::to_string(input.serving_cpu)},
+                {"config_version", Text(catalog_->version)}});
+  }
+  return verdict.refusal;
+}
+
+// Whether no worker can run the job, now or later.
+bool JobDesk::IsImpossible(const std::string& service, const HeldJob& job,
+                           Instant now) const {
+  if (now - started_ < options_.warm_up) return false;
+  if (!workers_.KnowsService(service)) return false;
+  return std::any_of(job.steps.begin(), job.steps.end(),
+                     [&](const HeldStep& step) {
+                       PlacementNeed need;
+                       need.service = service;
+                       need.need = step.each;
+                       need.required_label = step.required_label;
+                       return !workers_.CouldEverRun(need);
+                     });
+}
+
+void JobDesk::Admit(uint64_t caller, const QueueDeclaration& queue,
+                    HeldJob spec, Instant now) {
+  const uint64_t number = next_job_++;
+  Job& job = jobs_[number];
+  job.number = number;
+  job.callers.push_back(caller);
+  job.service = queue.service;
+  job.max_attempts = std::max<uint32_t>(queue.max_attempts, 1);
+  job.priority = queue.priority;
+  job.arrived = now;
+  const Millis objective = std::chrono::duration_cast<Millis>(
+                               ChainEstimate(spec) * queue.slack_factor) +
+                           queue.latency_target;
+  job.on_time_by = now + objective;
+  job.patient_until = now + spec.patience;
+  job.useful_by =
+      now + std::min(objective * options_.useful_objectives, spec.patience);
+  job.job = std::move(spec);
+  for (uint32_t step = 0; step < job.job.steps.size(); ++step) {
+    const uint32_t count = job.job.steps[step].tasks;
+    job.open_in_step.push_back(count);
+    for (uint32_t index = 0; index < count; ++index) {
+      Task task;
+      task.step = step;
+      task.index = index;
+      job.tasks.push_back(std::move(task));
+    }
+  }
+  job.open = job.tasks.size();
+  job_by_id_[job.job.id] = number;
+  job_by_caller_[caller] = number;
+  job.awaits_earlier = leftover_runs_.contains(job.job.id);
+  log_->Note("job_admitted", {{"job", job.job.id},
+                              {"queue", queue.name},
+                              {"tasks", Text(job.tasks.size())},
+                              {"objective_ms", Text(objective)},
+                              {"config_version", Text(catalog_->version)}});
+  if (!job.awaits_earlier) UnblockSteps(&job);
+}
+
+void JobDesk::AnswerCaller(uint64_t caller, const std::string& id,
+                           HeldAnswer answer, Instant /*now*/) {
+  if (answer.state == HeldState::kRefused) observer_->Refused(answer.reason);
+  if (answer.state != HeldState::kComplete) {
+    log_->Note("job_answered", {{"job", id},
+                                {"state", std::string(StateName(answer.state))},
+                                {"reason", Name(answer.reason)},
+                                {"retry_after_ms", Text(answer.retry_after)}});
+  }
+  actions_.emplace_back(SendHeldAnswer{caller, answer});
+}
+
+void JobDesk::OnCallerLeft(uint64_t caller, Instant now) {
+  const auto found = job_by_caller_.find(caller);
+  if (found == job_by_caller_.end()) return;
+  Job& job = jobs_.at(found->second);
+  job_by_caller_.erase(found);
+  std::erase(job.callers, caller);
+  if (!job.callers.empty()) return;
+  log_->Note("caller_left", {{"job", job.job.id},
+                             {"age_ms", Text(Elapsed(job.arrived, now))},
+                             {"open_runs", Text(job.ordered)}});
+  GiveUp(&job, Reason::kCallerLeft, now);
+}
+
+// Tasks.
+
+uint64_t JobDesk::WorkOf(const HeldStep& step) {
+  return static_cast<uint64_t>(step.each.cpu_millis * step.estimate.count() /
+                               kMillisPerCore);
+}
+
+void JobDesk::UnblockSteps(Job* job) {
+  for (uint32_t i = 0; i < job->tasks.size(); ++i) {
+    if (job->tasks[i].phase != TaskPhase::kBlocked) continue;
+    const HeldStep& step = job->job.steps[job->tasks[i].step];
+    const bool is_ready = std::all_of(
+        step.after.begin(), step.after.end(),
+        [&](uint32_t earlier) { return job->open_in_step[earlier] == 0; });
+    if (is_ready) Enqueue(job, i);
+  }
+}
+
+Instant JobDesk::StartBy(const Job& job, const Task& task) const {
+  return job.on_time_by - job.job.steps[task.step].estimate;
+}
+
+void JobDesk::Enqueue(Job* job, uint32_t index) {
+  Task& task = job->tasks[index];
+  task.phase = TaskPhase::kWaiting;
+  waiting_.insert({StartBy(*job, task), job->number, index});
+  const uint64_t work = WorkOf(job->job.steps[task.step]);
+  job->waiting_work += work;
+  waiting_work_ += work;
+}
+
+void JobDesk::Dequeue(Job* job, uint32_t index) {
+  const Task& task = job->tasks[index];
+  waiting_.erase({StartBy(*job, task), job->number, index});
+  const uint64_t work = WorkOf(job->job.steps[task.step]);
+  job->waiting_work -= work;
+  waiting_work_ -= work;
+}
+
+uint64_t JobDesk::WorkBefore(Instant start_by) const {
+  uint64_t sum = 0;
+  for (const Waiting& item : waiting_) {
+    if (item.start_by > start_by) break;
+    const Job& job = jobs_.at(item.job);
+    sum += WorkOf(job.job.steps[job.tasks[item.task].step]);
+  }
+  return sum;
+}
+
+PlacementNeed JobDesk::NeedOf(const Job& job, const Task& task) const {
+  const HeldStep& step = job.job.steps[task.step];
+  return {job.service,         step.each,           step.estimate,
+          step.required_label, step.preferred_rack, task.avoid};
+}
+
+void JobDesk::Dispatch(Instant now) {
+  int misses = 0;
+  for (auto item = waiting_.begin();
+       item != waiting_.end() && misses < kMaxMisses;) {
+    const Waiting next = *item++;
+    if (!Order(&jobs_.at(next.job), next.task, now)) ++misses;
+  }
+}
+
+// Sends one task to a worker. Returns false where none can take it now.
+bool JobDesk::Order(Job* job, uint32_t index, Instant now) {
+  Task& task = job->tasks[index];
+  PlacementNeed need = NeedOf(*job, task);
+  Incarnation guard;
+  WorkerEntry* entry = workers_.Choose(need, false, now, &guard);
+  if (entry == nullptr && !need.avoid.empty()) {
+    // Where the task failed is better than nowhere.
+    need.avoid.clear();
+    entry = workers_.Choose(need, true, now, &guard);
+  }
+  if (entry == nullptr) return false;
+  const HeldStep& step = job->job.steps[task.step];
+  Dequeue(job, index);
+  RunOrder order;
+  order.number = next_run_++;
+  order.task = job->job.id + ".0." + std::to_string(task.step) + "." +
+               std::to_string(task.index);
+  order.attempt = task.attempt;
+  order.step_tag = static_cast<uint32_t>(job->number << 6U) + task.step;
+  order.max_per_worker = step.max_per_worker;
+  order.service = job->service;
+  order.payload = job->job.payload;
+  order.need = step.each;
+  order.estimate = step.estimate;
+  order.slack = Until(now, StartBy(*job, task));
+  order.remaining = Until(now, job->patient_until);
+  task.phase = TaskPhase::kOrdered;
+  task.run = order.number;
+  ++job->ordered;
+  Run& run = runs_[order.number];
+  run.job = job->number;
+  run.task = index;
+  run.guard = guard;
+  run.id = job->job.id;
+  entry->open.insert(order.number);
+  WorkerTable::OnOrdered(entry, order);
+  OutgoingTo(guard)->orders.push_back(std::move(order));
+  return true;
+}
+
+RunOrders* JobDesk::OutgoingTo(Incarnation guard) { return &outgoing_[guard]; }
+
+void JobDesk::OnRunEnd(uint64_t number, const RunEnd& end, Instant now) {
+  const auto found = runs_.find(number);
+  if (found == runs_.end()) return;
+  const Run run = found->second;
+  WorkerEntry* entry = workers_.Find(run.guard);
+  if (entry != nullptr) entry->open.erase(number);
+  runs_.erase(found);
+  const auto held = jobs_.find(run.job);
+  if (held == jobs_.end()) {
+    ReleaseId(run.id, now);
+    return;
+  }
+  Job& job = held->second;
+  Task& task = job.tasks[run.task];
+  assert(task.run == number);
+  task.run = 0;
+  --job.ordered;
+  if (end.outcome != RunOutcome::kNotStarted) job.may_have_run = true;
+  switch (end.outcome) {
+    case RunOutcome::kDone:
+      observer_->TaskEnded(Outcome::kDone, Reason::kNone);
+      observer_->TaskRan(end.run_time);
+      task.phase = TaskPhase::kDone;
+      --job.open_in_step[task.step];
+      if (--job.open == 0) {
+        FinishJob(&job, {HeldState::kComplete, Reason::kNone, Millis(0)}, now);
+      } else if (job.open_in_step[task.step] == 0) {
+        UnblockSteps(&job);
+      }
+      return;
+    case RunOutcome::kFailed:
+      observer_->TaskEnded(Outcome::kFailed, end.reason);
+      task.avoid.insert(run.guard);
+      ++task.attempt;
+      if (++task.failures >= job.max_attempts) {
+        FinishJob(&job,
+                  {HeldState::kFailed, Reason::kAttemptsExhausted, Millis(0)},
+                  now);
+        return;
+      }
+      break;
+    case RunOutcome::kNotStarted:
+      if (end.reason == Reason::kStaleAttempt) {
+        // A job with this id ran before; its runs had numbers of their own.
+        task.attempt = task.attempt * 2 + 1;
+      } else if (end.reason == Reason::kGrantLost ||
+                 end.reason == Reason::kBackendUnreachable) {
+        ++task.attempt;
+      } else if (end.reason == Reason::kConstraintUnmet) {
+        task.avoid.insert(run.guard);
+      }
+      if (entry != nullptr) workers_.OnRefused(entry, now);
+      break;
+    case RunOutcome::kLost:
+      ++task.attempt;
+      if (end.reason == Reason::kRunStalled) task.avoid.insert(run.guard);
+      break;
+  }
+  RetryTask(&job, run.task, end.reason, now);
+}
+
+void JobDesk::RetryTask(Job* job, uint32_t index, Reason reason,
+                        Instant /*now*/) {
+  observer_->Retried(reason);
+  const Task& task = job->tasks[index];
+  if (reason != Reason::kExecutorQueueFull) {
+    log_->Note("task_retried", {{"job", job->job.id},
+                                {"task", std::to_string(task.step) + "." +
+                                             std::to_string(task.index)},
+                                {"attempt", Text(task.attempt)},
+                                {"failures", Text(task.failures)},
+                                {"reason", Name(reason)}});
+  }
+  Enqueue(job, index);
+}
+
+void JobDesk::StopRun(uint64_t number) {
+  Run& run = runs_.at(number);
+  if (run.is_stopped || run.is_orphan) return;
+  run.is_stopped = true;
+  OutgoingTo(run.guard)->stops.push_back(number);
+}
+
+// The run has ended for certain, without a word on how.
+void JobDesk::ReleaseRun(uint64_t number, Instant now) {
+  OnRunEnd(number, {number, RunOutcome::kLost, Reason::kWorkerLost, Millis(0)},
+           now);
+}
+
+// A run of an answered job has ended; a job with the same id may wait for it.
+void JobDesk::ReleaseId(const std::string& id, Instant now) {
+  const auto left = leftover_runs_.find(id);
+  assert(left != leftover_runs_.end());
+  if (--left->second > 0) return;
+  leftover_runs_.erase(left);
+  const auto next = job_by_id_.find(id);
+  if (next == job_by_id_.end()) return;
+  Job& job = jobs_.at(next->second);
+  if (!job.awaits_earlier) return;
+  job.awaits_earlier = false;
+  UnblockSteps(&job);
+  Dispatch(now);
+}
+
+// The end of jobs.
+
+void JobDesk::FinishJob(Job* job, HeldAnswer answer, Instant now) {
+  uint32_t leftover = 0;
+  for (uint32_t i = 0; i < job->tasks.size(); ++i) {
+    Task& task = job->tasks[i];
+    if (task.phase == TaskPhase::kWaiting) Dequeue(job, i);
+    if (task.phase != TaskPhase::kOrdered || task.run == 0) continue;
+    StopRun(task.run);
+    ++leftover;
+  }
+  if (leftover > 0) leftover_runs_[job->job.id] += leftover;
+  const Millis age = Elapsed(job->arrived, now);
+  observer_->JobEnded(ToJobState(answer.state), age);
+  for (const uint64_t caller : job->callers) {
+    job_by_caller_.erase(caller);
+    AnswerCaller(caller, job->job.id, answer, now);
+  }
+  if (answer.state == HeldState::kComplete) {
+    log_->Note("job_complete",
+               {{"job", job->job.id},
+                {"age_ms", Text(age)},
+                {"late", now > job->on_time_by ? "yes" : "no"}});
+  }
+  job_by_id_.erase(job->job.id);
+  jobs_.erase(job->number);
+}
+
+// Nothing of the job goes on, or is worth to. What did not run is refused with
+// the truth; of the rest only the failure is certain.
+void JobDesk::GiveUp(Job* job, Reason reason, Instant now) {
+  HeldAnswer answer;
+  if (job->may_have_run || job->ordered > 0) {
+    answer.state = HeldState::kFailed;
+    answer.reason =
+        reason == Reason::kEntrySuspended ? reason : Reason::kGivenUpRunning;
+  } else {
+    answer.state = HeldState::kRefused;
+    answer.reason = reason;
+    answer.retry_after = kRestartRetry;
+  }
+  log_->Note("job_given_up", {{"job", job->job.id},
+                              {"reason", Name(reason)},
+                              {"age_ms", Text(Elapsed(job->arrived, now))},
+                              {"open_tasks", Text(job->open)},
+                              {"open_runs", Text(job->ordered)},
+                              {"ran", job->may_have_run ? "yes" : "no"}});
+  FinishJob(job, answer, now);
+}
+
+void JobDesk::GiveUpAll(Reason reason, Instant now) {
+  while (!jobs_.empty()) GiveUp(&jobs_.begin()->second, reason, now);
+}
+
+void JobDesk::OnSuspended(Instant now) {
+  GiveUpAll(Reason::kEntrySuspended, now);
+}
+
+void JobDesk::BeginStop(Instant finish_by) {
+  is_stopping_ = true;
+  finish_by_ = finish_by;
+}
+
+size_t JobDesk::PendingIn(const std::string& queue) const {
+  size_t count = 0;
+  for (const auto& [number, job] : jobs_) {
+    const bool is_pending =
+        job.job.queue == queue && !job.may_have_run && job.ordered == 0;
+    count += is_pending ? 1 : 0;
+  }
+  return count;
+}
+
+// Guards.
+
+void JobDesk::OnGuardUp(Address address, Incarnation guard, Instant now) {
+  workers_.OnUp(address, guard, now);
+  outgoing_.erase(guard);
+  log_->Note("guard_up", {{"guard", address.ToString()}});
+}
+
+void JobDesk::OnGuardDown(Incarnation guard, Instant now) {
+  WorkerEntry* entry = workers_.Find(guard);
+  if (entry == nullptr || !entry->is_connected) return;
+  entry->is_connected = false;
+  outgoing_.erase(guard);
+  log_->Note("guard_down", {{"guard", entry->address.ToString()},
+                            {"report_age_ms", Text(Elapsed(entry->heard, now))},
+                            {"open_runs", Text(entry->open.size())}});
+  OrphanRuns(*entry, now, now);
+}
+
+// The guard stops the runs once it misses this entry; a guard that has ended
+// leaves them to the worker's lease.
+void JobDesk::OrphanRuns(const WorkerEntry& entry, Instant since, Instant now) {
+  const Instant release_at = since + options_.home_lease +
+                             options_.worker_lease + options_.lease_slack;
+  size_t count = 0;
+  for (const uint64_t number : entry.open) {
+    Run& run = runs_.at(number);
+    if (run.is_orphan) continue;
+    run.is_orphan = true;
+    run.release_at = release_at;
+    ++count;
+  }
+  if (count == 0) return;
+  log_->Note("runs_out_of_reach",
+             {{"guard", entry.address.ToString()},
+              {"runs", Text(count)},
+              {"report_age_ms", Text(Elapsed(entry.heard, now))},
+              {"released_in_ms", Text(Until(now, release_at))}});
+}
+
+void JobDesk::OnGuardGone(Incarnation guard, Instant now) {
+  OnGuardDown(guard, now);
+}
+
+void JobDesk::OnReport(Incarnation guard, const RunReport& report,
+                       Instant now) {
+  // Deadlines that passed while this process stood still go first.
+  CheckJobs(now);
+  WorkerEntry* entry = workers_.Find(guard);
+  if (entry == nullptr || !entry->is_connected) return;
+  workers_.OnReport(entry, report, now);
+  for (const RunEnd& end : report.ends) OnRunEnd(end.number, end, now);
+  std::vector<uint64_t> ended;
+  if (report.earlier_runs == 0) {
+    for (const uint64_t number : entry->open) {
+      if (runs_.at(number).is_orphan) ended.push_back(number);
+    }
+  }
+  if (report.is_settled) {
+    // A former run of this guard cannot have left anything behind.
+    for (const auto& [other, former] : workers_.entries()) {
+      if (other == guard || former.address != entry->address) continue;
+      ended.insert(ended.end(), former.open.begin(), former.open.end());
+    }
+  }
+  for (const uint64_t number : ended) ReleaseRun(number, now);
+  if (!entry->open.empty()) OutgoingTo(guard);
+  Dispatch(now);
+}
+
+// Time.
+
+void JobDesk::OnTimer(Instant now) {
+  CheckJobs(now);
+  CheckRuns(now);
+  for (auto& [guard, entry] : workers_.entries()) {
+    if (entry.is_connected && !entry.open.empty()) OutgoingTo(guard);
+  }
+  Dispatch(now);
+}
+
+void JobDesk::CheckJobs(Instant now) {
+  std::vector<uint64_t> over;
+  for (const auto& [number, job] : jobs_) {
+    // What has run in part is finished for as long as its caller waits.
+    const bool has_started = job.may_have_run || job.ordered > 0;
+    const bool is_over = has_started
+                             ? now >= job.patient_until
+                             : now + ChainEstimate(job.job) > job.useful_by;
+    if (is_over) over.push_back(number);
+  }
+  for (const uint64_t number : over) {
+    GiveUp(&jobs_.at(number), Reason::kWaitedTooLong, now);
+  }
+}
+
+void JobDesk::CheckRuns(Instant now) {
+  std::vector<uint64_t> ended;
+  for (auto& [guard, entry] : workers_.entries()) {
+    // A guard that stands still, or that no frame reaches, ends the runs at the
+    // latest when the lease of the report that it last sent lapses.
+    const bool is_silent =
+        entry.is_connected && now - entry.heard > options_.home_lease;
+    if (is_silent) OrphanRuns(entry, entry.heard, now);
+  }
+  for (const auto& [number, run] : runs_) {
+    if (run.is_orphan && now >= run.release_at) ended.push_back(number);
+  }
+  for (const uint64_t number : ended) ReleaseRun(number, now);
+  std::erase_if(workers_.entries(), [](const auto& item) {
+    return !item.second.is_connected && item.second.open.empty();
+  });
+}
+
+std::vector<DeskAction> JobDesk::TakeActions(Instant now) {
+  for (auto item = outgoing_.begin(); item != outgoing_.end();) {
+    auto& [guard, orders] = *item;
+    const WorkerEntry* entry = workers_.Find(guard);
+    if (entry == nullptr || !entry->is_connected) {
+      item = outgoing_.erase(item);
+      continue;
+    }
+    const bool has_news = !orders.orders.empty() || !orders.stops.empty();
+    if (!has_news && now - echoed_[guard] < options_.echo_interval) {
+      ++item;
+      continue;
+    }
+    echoed_[guard] = now;
+    orders.echo = entry->report.stamp;
+    orders.waiting_work = waiting_work_;
+    actions_.emplace_back(SendOrders{guard, std::move(orders)});
+    item = outgoing_.erase(item);
+  }
+  return std::exchange(actions_, {});
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/held/job_desk.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/observer.h"
+#include "held/worker_table.h"
+#include "quetzalspindle/catalog.h"
+#include "quetzalspindle/held_job.h"
+
+namespace qs {
+
+class DecisionLog;
+
+struct JobDeskOptions {
+  // As the guards have them: the time after which a guard that does not hear
+  // from this entry, or a worker that does not hear from its guard, has ended
+  // this entry's runs for certain.
+  Millis home_lease{700};
+  Millis worker_lease{1000};
+  Millis lease_slack{200};  // Ticks, the stop itself, and slow clocks.
+  Millis echo_interval{150};
+  // An answer later than so many objectives is of no use to the caller.
+  int useful_objectives = 3;
+  // Reports are awaited for so long after the start before "no worker" counts
+  // as a fact.
+  Millis warm_up{4000};
+  uint32_t max_jobs = 2000;  // Held at a time; each has a thread and a socket.
+  WorkerTableOptions workers;
+};
+
+struct SendOrders {
+  Incarnation guard;
+  RunOrders orders;
+};
+struct SendHeldAnswer {
+  uint64_t caller = 0;
+  HeldAnswer answer;
+};
+using DeskAction = std::variant<SendOrders, SendHeldAnswer>;
+
+// Holds jobs for their callers: decides which are refused, in which order tasks
+// go out, and to which worker. A task has one run at a time. A run that may
+// still go on somewhere is waited for, until its guard has told of its end or
+// every lease it could live on has lapsed. No I/O, no threads: events in,
+// actions out through TakeActions.
+class JobDesk {
+ public:
+  // `observer` and `log` must outlive the desk.
+  JobDesk(const JobDeskOptions& options, Observer* observer, DecisionLog* log,
+          uint32_t seed, Instant now);
+
+  void SetCatalog(std::shared_ptr<const Catalog> catalog, Instant now);
+  void OnJob(uint64_t caller, HeldJob job, Instant now);
+  // The caller closed its connection.
+  void OnCallerLeft(uint64_t caller, Instant now);
+
+  void OnGuardUp(Address address, Incarnation guard, Instant now);
+  void OnGuardDown(Incarnation guard, Instant now);
+  // Another incarnation runs at the address, or none.
+  void OnGuardGone(Incarnation guard, Instant now);
+  void OnReport(Incarnation guard, const RunReport& report, Instant now);
+
+  // The process stood still: callers may have handed their jobs in elsewhere.
+  void OnSuspended(Instant now);
+  // New jobs must end by then.
+  void BeginStop(Instant finish_by);
+  // Answers everything that is still held.
+  void GiveUpAll(Reason reason, Instant now);
+  void OnTimer(Instant now);
+
+  std::vector<DeskAction> TakeActions(Instant now);
+
+  size_t held_jobs() const { return jobs_.size(); }
+  // Jobs of a queue of which no task has started.
+  size_t PendingIn(const std::string& queue) const;
+  const WorkerTable& workers() const { return workers_; }
+
+ private:
+  enum class TaskPhase : uint8_t { kBlocked, kWaiting, kOrdered, kDone };
+
+  struct Task {
+    uint32_t step = 0;
+    uint32_t index = 0;  // Within the step.
+    TaskPhase phase = TaskPhase::kBlocked;
+    uint32_t attempt = 1;
+    uint32_t failures = 0;
+    uint64_t run = 0;
+    std::set<Incarnation> avoid;
+  };
+
+  struct Job {
+    uint64_t number = 0;
+    HeldJob job;
+    std::vector<uint64_t> callers;
+    std::string service;
+    uint32_t max_attempts = 1;
+    uint32_t priority = 0;
+    Instant arrived;
+    Instant on_time_by;
+    Instant useful_by;      // An answer later than this is of little use.
+    Instant patient_until;  // The caller leaves then.
+    std::vector<Task> tasks;
+    std::vector<uint32_t> open_in_step;  // Tasks not done.
+    size_t open = 0;
+    uint32_t ordered = 0;       // Tasks with an open run.
+    bool may_have_run = false;  // Some run was ordered and not refused.
+    bool is_offered = false;
+    bool awaits_earlier = false;  // Runs of an earlier job of this id go on.
+    uint64_t waiting_work = 0;    // Core-milliseconds.
+  };
+
+  // A task that waits, by when it must start.
+  struct Waiting {
+    Instant start_by;
+    uint64_t job = 0;
+    uint32_t task = 0;
+    auto operator<=>(const Waiting&) const = default;
+  };
+
+  // A run that was ordered and of which the end is not known.
+  struct Run {
+    uint64_t job = 0;  // May have been answered since.
+    uint32_t task = 0;
+    Incarnation guard;
+    std::string id;  // Of the job.
+    bool is_stopped = false;
+    bool is_orphan = false;  // Its connection is gone.
+    Instant release_at;      // Ended for certain then.
+  };
+
+  void Admit(uint64_t caller, const QueueDeclaration& queue, HeldJob job,
+             Instant now);
+  Reason Refusal(const QueueDeclaration& queue, const HeldJob& job, Instant now,
+                 Millis* retry_after) const;
+  bool IsImpossible(const std::string& service, const HeldJob& job,
+                    Instant now) const;
+  void AnswerCaller(uint64_t caller, const std::string& id, HeldAnswer answer,
+                    Instant now);
+  void UnblockSteps(Job* job);
+  void Enqueue(Job* job, uint32_t task);
+  void Dequeue(Job* job, uint32_t task);
+  Instant StartBy(const Job& job, const Task& task) const;
+  PlacementNeed NeedOf(const Job& job, const Task& task) const;
+  static uint64_t WorkOf(const HeldStep& step);
+
+  void Dispatch(Instant now);
+  bool Order(Job* job, uint32_t task, Instant now);
+  void OnRunEnd(uint64_t number, const RunEnd& end, Instant now);
+  void RetryTask(Job* job, uint32_t task, Reason reason, Instant now);
+  void OrphanRuns(const WorkerEntry& entry, Instant since, Instant now);
+  void ReleaseRun(uint64_t number, Instant now);
+  void ReleaseId(const std::string& id, Instant now);
+  void StopRun(uint64_t number);
+  void FinishJob(Job* job, HeldAnswer answer, Instant now);
+  void GiveUp(Job* job, Reason reason, Instant now);
+  void CheckJobs(Instant now);
+  void CheckRuns(Instant now);
+  uint64_t WorkBefore(Instant start_by) const;
+  RunOrders* OutgoingTo(Incarnation guard);
+
+  JobDeskOptions options_;
+  Observer* observer_;
+  DecisionLog* log_;
+  Instant started_;
+  bool is_stopping_ = false;
+  Instant finish_by_;
+  std::shared_ptr<const Catalog> catalog_;
+  WorkerTable workers_;
+  uint64_t next_job_ = 1;
+  uint64_t next_run_ = 1;
+  uint64_t waiting_work_ = 0;  // Core-milliseconds.
+  std::unordered_map<uint64_t, Job> jobs_;
+  std::unordered_map<std::string, uint64_t> job_by_id_;
+  std::unordered_map<uint64_t, uint64_t> job_by_caller_;
+  std::set<Waiting> waiting_;
+  std::map<uint64_t, Run> runs_;
+  // Runs of jobs that were answered, by the job's id.
+  std::unordered_map<std::string, uint32_t> leftover_runs_;
+  std::map<Incarnation, RunOrders> outgoing_;
+  std::map<Incarnation, Instant> echoed_;
+  std::vector<DeskAction> actions_;
+};
+
+}  // namespace qs
--- /dev/null
+++ b/src/held/worker_table.cc
@@ -0,0 +1,224 @@
+#include "held/worker_table.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace qs {
+namespace {
+
+// Candidates drawn at random, of which the least loaded is taken. Entries that
+// act on the same reports then do not all choose the same worker.
+constexpr size_t kChoices = 3;
+// Fewer workers make no meaningful median.
+constexpr size_t kMinForMedian = 3;
+
+}  // namespace
+
+WorkerTable::WorkerTable(const WorkerTableOptions& options, uint32_t seed)
+    : options_(options), random_(seed) {}
+
+WorkerEntry* WorkerTable::Find(Incarnation guard) {
+  const auto found = entries_.find(guard);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+WorkerEntry* WorkerTable::OnUp(Address address, Incarnation guard,
+                               Instant now) {
+  WorkerEntry& entry = entries_[guard];
+  entry.address = address;
+  entry.is_connected = true;
+  entry.has_report = false;
+  entry.heard = now;
+  entry.in_flight.clear();
+  entry.in_flight_need = {};
+  entry.in_flight_work = 0;
+  return &entry;
+}
+
+void WorkerTable::OnReport(WorkerEntry* entry, const RunReport& report,
+                           Instant now) {
+  entry->report = report;
+  entry->report.ends.clear();
+  entry->has_report = true;
+  entry->heard = now;
+  while (!entry->in_flight.empty() &&
+         entry->in_flight.begin()->first <= report.seen_order) {
+    const auto& [need, work] = entry->in_flight.begin()->second;
+    entry->in_flight_need -= need;
+    entry->in_flight_work -= work;
+    entry->in_flight.erase(entry->in_flight.begin());
+  }
+  const Offer offer{report.service, report.capacity, report.labels};
+  if (!report.service.empty() &&
+      std::find(offers_.begin(), offers_.end(), offer) == offers_.end()) {
+    offers_.push_back(offer);
+  }
+  JudgeOutliers();
+}
+
+void WorkerTable::OnOrdered(WorkerEntry* entry, const RunOrder& order) {
+  const auto work = static_cast<uint64_t>(order.need.cpu_millis *
+                                          order.estimate.count() / 1000);
+  entry->in_flight[order.number] = {order.need, work};
+  entry->in_flight_need += order.need;
+  entry->in_flight_work += work;
+}
+
+void WorkerTable::OnRefused(WorkerEntry* entry, Instant now) {
+  entry->refused_until = now + options_.refusal_pause;
+}
+
+void WorkerTable::JudgeOutliers() {
+  std::vector<uint32_t> values;
+  for (const auto& [guard, entry] : entries_) {
+    if (entry.is_connected && entry.has_report) {
+      values.push_back(entry.report.slowness);
+    }
+  }
+  if (values.size() < kMinForMedian) return;
+  const auto middle =
+      values.begin() + static_cast<ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  const double limit = *middle * options_.outlier_factor;
+  for (auto& [guard, entry] : entries_) {
+    entry.is_outlier = entry.report.slowness > limit;
+  }
+}
+
+Resources WorkerTable::FreeRoom(const WorkerEntry& entry) {
+  Resources room = entry.report.capacity;
+  room -= entry.report.used;
+  room -= entry.in_flight_need;
+  return room;
+}
+
+Millis WorkerTable::QueueDelay(const WorkerEntry& entry) {
+  const int64_t cores =
+      std::max<int64_t>(entry.report.capacity.cpu_millis / 1000, 1);
+  const auto work =
+      static_cast<int64_t>(entry.report.queued_work + entry.in_flight_work);
+  return Millis(work / cores);
+}
+
+bool WorkerTable::IsUsable(const WorkerEntry& entry, const PlacementNeed& need,
+                           Instant now) const {
+  if (!entry.is_connected || !entry.has_report) return false;
+  if (entry.report.state != ServingState::kServing) return false;
+  if (entry.report.service != need.service) return false;
+  if (now - entry.heard > options_.silent_after) return false;
+  if (now < entry.refused_until) return false;
+  if (!need.need.FitsIn(entry.report.capacity)) return false;
+  if (need.required_label.empty()) return true;
+  const auto& labels = entry.report.labels;
+  return std::find(labels.begin(), labels.end(), need.required_label) !=
+         labels.end();
+}
+
+WorkerEntry* WorkerTable::Choose(const PlacementNeed& need, bool room_only,
+                                 Instant now, Incarnation* guard) {
+  struct Found {
+    Incarnation guard;
+    WorkerEntry* entry = nullptr;
+    bool is_near = false;
+    double load = 0;  // Lower is better.
+  };
+  std::vector<Found> with_room;
+  Found shortest_queue;
+  double shortest = std::numeric_limits<double>::max();
+  for (auto& [incarnation, entry] : entries_) {
+    if (!IsUsable(entry, need, now)) continue;
+    if (need.avoid.contains(incarnation)) continue;
+    if (entry.is_outlier && now < entry.next_trial) continue;
+    const bool is_near = !need.preferred_rack.empty() &&
+                         entry.report.rack == need.preferred_rack;
+    const Resources room = FreeRoom(entry);
+    const double capacity = static_cast<double>(
+        std::max<int64_t>(entry.report.capacity.cpu_millis, 1));
+    if (need.need.FitsIn(room) && entry.report.queued_work == 0) {
+      with_room.push_back(
+          {incarnation, &entry, is_near,
+           1 - static_cast<double>(room.cpu_millis) / capacity});
+      continue;
+    }
+    if (room_only) continue;
+    const Millis delay = QueueDelay(entry);
+    if (delay > options_.queue_ahead) continue;
+    const auto length =
+        static_cast<double>(delay.count()) +
+        static_cast<double>(entry.in_flight_need.cpu_millis) / capacity;
+    if (length < shortest) {
+      shortest = length;
+      shortest_queue = {incarnation, &entry, is_near, 0};
+    }
+  }
+  Found best = shortest_queue;
+  if (!with_room.empty()) {
+    std::shuffle(with_room.begin(), with_room.end(), random_);
+    std::stable_partition(with_room.begin(), with_room.end(),
+                          [](const Found& f) { return f.is_near; });
+    const bool near_only = with_room.front().is_near;
+    best = with_room.front();
+    size_t seen = 0;
+    for (const Found& found : with_room) {
+      if (near_only && !found.is_near) break;
+      if (++seen > kChoices) break;
+      if (found.load < best.load) best = found;
+    }
+  }
+  if (best.entry == nullptr) return nullptr;
+  if (best.entry->is_outlier) {
+    best.entry->next_trial = now + options_.trial_interval;
+  }
+  *guard = best.guard;
+  return best.entry;
+}
+
+int64_t WorkerTable::ServingCpu(const std::string& service, Instant now) const {
+  int64_t sum = 0;
+  for (const auto& [guard, entry] : entries_) {
+    const bool serves = entry.is_connected && entry.has_report &&
+                        entry.report.state == ServingState::kServing &&
+                        entry.report.service == service &&
+                        now - entry.heard <= options_.silent_after &&
+                        !entry.is_outlier;
+    if (serves) sum += entry.report.capacity.cpu_millis;
+  }
+  return sum;
+}
+
+bool WorkerTable::CouldEverRun(const PlacementNeed& need) const {
+  return std::any_of(offers_.begin(), offers_.end(), [&](const Offer& offer) {
+    if (offer.service != need.service) return false;
+    if (!need.need.FitsIn(offer.capacity)) return false;
+    return need.required_label.empty() ||
+           std::find(offer.labels.begin(), offer.labels.end(),
+                     need.required_label) != offer.labels.end();
+  });
+}
+
+bool WorkerTable::KnowsService(const std::string& service) const {
+  return std::any_of(offers_.begin(), offers_.end(), [&](const Offer& offer) {
+    return offer.service == service;
+  });
+}
+
+uint64_t WorkerTable::QueuedWork(const std::string& service,
+                                 Instant now) const {
+  uint64_t sum = 0;
+  for (const auto& [guard, entry] : entries_) {
+    if (!entry.has_report || entry.report.service != service) continue;
+    if (now - entry.heard > options_.silent_after) continue;
+    sum += entry.report.queued_work + entry.in_flight_work;
+  }
+  return sum;
+}
+
+uint64_t WorkerTable::WaitingWorkOfAll() const {
+  uint64_t most = 0;
+  for (const auto& [guard, entry] : entries_) {
+    if (entry.is_connected) most = std::max(most, entry.report.waiting_work);
+  }
+  return most;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/http/http_caller.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "quetzalspindle/address.h"
+#include "quetzalspindle/http_exchange.h"
+
+namespace qs {
+
+// Makes requests to one server, on libcurl, over a connection that is kept open
+// between them. libcurl may send a request again where a kept connection was
+// closed before any answer, so only idempotent requests belong here. For one
+// thread at a time.
+class HttpCaller {
+ public:
+  explicit HttpCaller(Address server);
+  ~HttpCaller();
+  HttpCaller(const HttpCaller&) = delete;
+  HttpCaller& operator=(const HttpCaller&) = delete;
+
+  Address server() const { return server_; }
+
+  HttpOutcome Exchange(const HttpExchange& request);
+  // Drops the kept connection.
+  void Reset();
+
+ private:
+  struct Handle;
+
+  Address server_;
+  std::unique_ptr<Handle> handle_;
+};
+
+}  // namespace qs
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,8 +1,14 @@
 #include "http/http_server.h"
 
+#include <arpa/inet.h>
 #include <civetweb.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstring>
 
 namespace qs {
@@ -23,6 +29,33 @@
   return query;
 }
 
+std::string ToLower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+int HighestDescriptor() {
+  constexpr int kFallback = 1024;
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return kFallback;
+  constexpr rlim_t kMost = 65'536;
+  return static_cast<int>(std::min(limit.rlim_cur, kMost));
+}
+
+bool IsPeer(int fd, const char* address, int port) {
+  sockaddr_in peer{};
+  socklen_t size = sizeof(peer);
+  if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
+    return false;
+  }
+  if (peer.sin_family != AF_INET || ntohs(peer.sin_port) != port) return false;
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
+  return std::strcmp(text.data(), address) == 0;
+}
+
 }  // namespace
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Make(
@@ -35,6 +68,7 @@
   const std::string ports = o.address.ToString();
   const std::string threads = std::to_string(o.threads);
   const std::string timeout = std::to_string(o.request_timeout.count());
+  const std::string idle = std::to_string(o.idle_timeout.count());
   const std::array<const char*, 15> config = {"listening_ports",
                                               ports.c_str(),
                                               "num_threads",
@@ -44,7 +78,7 @@
                                               "enable_keep_alive",
                                               "yes",
                                               "keep_alive_timeout_ms",
-                                              "30000",
+                                              idle.c_str(),
                                               "tcp_nodelay",
                                               "1",
                                               "connection_queue",
@@ -75,7 +109,7 @@
   const auto* server = static_cast<const HttpServer*>(self);
   bool close = false;
   const HttpResponse response = server->Serve(connection, &close);
-  Write(connection, response, close);
+  Write(connection, response, close || response.close);
   return response.status;
 }
 
@@ -85,6 +119,10 @@
   request.method = info->request_method;
   request.path = info->local_uri;
   request.query = ParseQuery(info->query_string);
+  for (int i = 0; i < info->num_headers; ++i) {
+    const mg_header& header = info->http_headers[i];
+    request.headers[ToLower(header.name)] = header.value;
+  }
   const Route* route = FindRoute(&request);
   if (route == nullptr) {
     *close = true;  // The body, if any, was not read.
@@ -94,9 +132,28 @@
     *close = true;
     return options_.too_large(options_.max_body_bytes);
   }
+  if (options_.finds_sockets) request.socket = SocketOf(connection);
   return route->handler(request);
 }
 
+// CivetWeb does not tell a connection's socket. It is looked up by the address
+// of the peer once for each connection.
+int HttpServer::SocketOf(mg_connection* connection) {
+  // Descriptors are kept plus one, so that null means "not looked up".
+  auto known =
+      reinterpret_cast<intptr_t>(mg_get_user_connection_data(connection));
+  if (known != 0) return static_cast<int>(known) - 1;
+  const mg_request_info* info = mg_get_request_info(connection);
+  static const int kHighest = HighestDescriptor();
+  for (int fd = 0; fd < kHighest; ++fd) {
+    if (!IsPeer(fd, info->remote_addr, info->remote_port)) continue;
+    mg_set_user_connection_data(connection,
+                                reinterpret_cast<void*>(intptr_t{fd} + 1));
+    return fd;
+  }
+  return -1;
+}
+
 const HttpServer::Route* HttpServer::FindRoute(HttpRequest* request) const {
   for (const Route& route : routes_) {
     if (route.method != request->method) continue;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "quetzalspindle/address.h"
+#include "quetzalspindle/http_message.h"
 #include "quetzalspindle/result.h"
 #include "quetzalspindle/time.h"
 
@@ -18,26 +19,14 @@
 
 namespace qs {
 
-struct HttpRequest {
-  std::string method;
-  std::string path;    // Without the query.
-  std::string suffix;  // Of the path, behind the route's prefix.
-  std::map<std::string, std::string> query;
-  std::string body;
-};
-
-struct HttpResponse {
-  int status = 200;
-  std::string content_type = "application/json";
-  std::vector<std::pair<std::string, std::string>> headers;
-  std::string body;
-};
-
 struct HttpServerOptions {
   Address address;
   uint32_t threads = 8;  // Requests served at a time.
   size_t max_body_bytes = 1U << 20U;
   Millis request_timeout{15'000};  // For a slow or half-closed client.
+  // How long a connection may be idle between two requests.
+  Millis idle_timeout{30'000};
+  bool finds_sockets = false;  // Fills HttpRequest::socket.
   // Answers a request whose body is too large; the argument is the limit.
   std::function<HttpResponse(size_t)> too_large;
   std::function<HttpResponse()> no_such_route;
@@ -70,6 +59,7 @@
   static int OnRequest(mg_connection* connection, void* self);
   HttpResponse Serve(mg_connection* connection, bool* close) const;
   const Route* FindRoute(HttpRequest* request) const;
+  static int SocketOf(mg_connection* connection);
   bool ReadBody(mg_connection* connection, std::string* body) const;
   static void Write(mg_connection* connection, const HttpResponse& response,
                     bool close);
--- a/src/http/job_json.h
+++ b/src/http/job_json.h
@@ -20,8 +20,4 @@
 HttpResponse ProblemResponse(Reason reason, const Findings& findings = {},
                              Millis retry_after = Millis(0));
 
-// Bytes that need not be UTF-8 to and from base64 (RFC 4648, with padding).
-std::string EncodeBase64(const std::string& bytes);
-Result<std::string> DecodeBase64(const std::string& text);
-
 }  // namespace qs
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -3,6 +3,8 @@
 #include <random>
 #include <utility>
 
+#include "store/etcd_store.h"
+
 namespace qs {
 namespace {
 
@@ -19,7 +21,18 @@
 }  // namespace
 
 Kernel::Kernel(Settings settings)
-    : settings(std::move(settings)), incarnation(RandomIncarnation()) {}
+    : settings(std::move(settings)),
+      deployment(
+          DeploymentRegistry::Instance().Make(this->settings.deployment)),
+      incarnation(RandomIncarnation()) {}
+
+std::unique_ptr<PlatformStore> Kernel::MakeStore() const {
+  if (deployment != nullptr) {
+    return deployment->MakeStore(settings.store, settings.store_timeout);
+  }
+  if (settings.platform_endpoint.empty()) return nullptr;
+  return EtcdStore::Make(settings.platform_endpoint, settings.platform_timeout);
+}
 
 RoleRegistry& RoleRegistry::Instance() {
   static RoleRegistry registry;
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -7,6 +7,7 @@
 
 #include "kernel/timer_service.h"
 #include "metrics/metrics.h"
+#include "quetzalspindle/deployment.h"
 #include "quetzalspindle/ids.h"
 #include "settings/settings.h"
 
@@ -17,7 +18,12 @@
 struct Kernel {
   explicit Kernel(Settings settings);
 
+  // The key-value service that the settings name, null where they name none.
+  std::unique_ptr<PlatformStore> MakeStore() const;
+
   Settings settings;
+  // Null where the settings name no deployment.
+  std::unique_ptr<Deployment> deployment;
   Incarnation incarnation;  // Random, new at each start.
   asio::io_context io{1};
   TimerService timers{&io};
--- /dev/null
+++ b/src/kernel/suspend_watch.cc
@@ -0,0 +1,33 @@
+#include "kernel/suspend_watch.h"
+
+#include <ctime>
+
+namespace qs {
+namespace {
+
+// The two clocks are not read at the same moment.
+constexpr Millis kReadingError{50};
+
+Millis Read(clockid_t clock) {
+  timespec time{};
+  clock_gettime(clock, &time);
+  return std::chrono::duration_cast<Millis>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+Millis Offset() { return Read(CLOCK_BOOTTIME) - Read(CLOCK_MONOTONIC); }
+
+}  // namespace
+
+SuspendWatch::SuspendWatch() : offset_(Offset()) {}
+
+Millis SuspendWatch::Check() {
+  const Millis offset = Offset();
+  const Millis suspended = offset - offset_;
+  if (suspended <= kReadingError) return Millis(0);
+  offset_ = offset;
+  return suspended;
+}
+
+}  // namespace qs
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -32,7 +32,8 @@
 constexpr uint32_t kDayMs = 86'400'000;
 
 const std::array kRows = {
-    Row{"process", "role", &Settings::role, nullptr, 0, 0, "entry or guard"},
+    Row{"process", "role", &Settings::role, nullptr, 0, 0,
+        "entry, guard, job_entry or job_guard"},
     Row{"process", "listen", &Settings::listen, nullptr, 0, 0,
         "IP:port for the other processes of the system"},
     Row{"process", "http", &Settings::http, nullptr, 0, 0,
@@ -43,8 +44,33 @@
         "debug, info, warn or error"},
     Row{"process", "stop_timeout_ms", &Settings::stop_timeout, "900000", 0,
         kDayMs, "longest graceful stop; work still in progress is then cut"},
+    Row{"process", "deployment", &Settings::deployment, "", 0, 0,
+        "plug-in that speaks the platform's protocols; roles job_entry and "
+        "job_guard need one"},
+    Row{"callers", "listen", &Settings::callers, "", 0, 0,
+        "IP:port for callers of held jobs (job_entry)"},
+    Row{"callers", "readiness", &Settings::readiness, "", 0, 0,
+        "IP:port where the balancer asks for readiness (job_entry)"},
+    Row{"callers", "threads", &Settings::caller_threads, "320", 2, 4000,
+        "connections of callers served at a time; each takes a thread"},
+    Row{"callers", "stop_accepting_after_ms", &Settings::stop_accepting_after,
+        "3000", 0, 60'000,
+        "a stopping entry takes jobs for so long, until the balancer avoids "
+        "it"},
+    Row{"worker", "announcements", &Settings::announcements, "", 0, 0,
+        "IP:port where the worker of this host announces itself (job_guard)"},
+    Row{"worker", "address", &Settings::worker, "", 0, 0,
+        "IP:port of the worker of this host (job_guard)"},
+    Row{"worker", "lease_ms", &Settings::worker_lease, "1000", 100, 600'000,
+        "longest lease of a run that the worker grants"},
+    Row{"store", "address", &Settings::store, "", 0, 0,
+        "IP:port of the platform's store, for a deployment plug-in"},
+    Row{"store", "timeout_ms", &Settings::store_timeout, "1000", 10, 60'000,
+        "longest wait for one call to the platform's store"},
     Row{"members", "seeds", &Settings::seeds, "", 0, 0,
         "IP:port list, separated by spaces, of processes to contact first"},
+    Row{"members", "seed_port", &Settings::seed_port, "0", 0, 65'535,
+        "port that replaces the ports of the seeds; 0 to keep them"},
     Row{"members", "gossip_interval_ms", &Settings::gossip_interval, "500", 20,
         60'000, "time between two rounds of telling other members"},
     Row{"members", "gossip_fanout", &Settings::gossip_fanout, "2", 1, 32,
@@ -118,6 +144,11 @@
     return Number([&](uint32_t value) { settings->*member = Millis(value); });
   }
   std::string operator()(Address Settings::*member) const {
+    // An optional address that is left empty, as its default is.
+    if (text.empty() && row.default_value != nullptr) {
+      settings->*member = Address();
+      return {};
+    }
     const Result<Address> address = Address::Parse(text);
     if (!address) return "'" + text + "' is not IP:port";
     settings->*member = *address;
@@ -165,13 +196,40 @@
   return std::visit(Assigner{settings, row, text}, row.member);
 }
 
+// What the roles for held jobs need beyond the keys that all roles need.
+void CheckDeployment(const Settings& settings, const std::string& file,
+                     Findings* findings) {
+  const bool is_entry = settings.role == "job_entry";
+  const bool is_guard = settings.role == "job_guard";
+  const auto require = [&](bool given, const char* key) {
+    if (!given) {
+      findings->Add(file + " " + key, "role " + settings.role + " needs it");
+    }
+  };
+  if (is_entry || is_guard) {
+    require(!settings.deployment.empty(), "[process] deployment");
+    require(settings.store.port != 0, "[store] address");
+  }
+  if (is_entry) {
+    require(settings.callers.port != 0, "[callers] listen");
+    require(settings.readiness.port != 0, "[callers] readiness");
+  }
+  if (is_guard) {
+    require(settings.announcements.port != 0, "[worker] announcements");
+    require(settings.worker.port != 0, "[worker] address");
+  }
+}
+
 void CheckNames(const Settings& settings, const std::string& file,
                 Findings* findings) {
-  if (!settings.role.empty() && settings.role != "entry" &&
-      settings.role != "guard") {
-    findings->Add(file + " [process] role",
-                  "'" + settings.role + "' is neither entry nor guard");
+  static const std::set<std::string> kRoles = {"", "entry", "guard",
+                                               "job_entry", "job_guard"};
+  if (!kRoles.contains(settings.role)) {
+    findings->Add(
+        file + " [process] role",
+        "'" + settings.role + "' is none of: entry guard job_entry job_guard");
   }
+  CheckDeployment(settings, file, findings);
   const auto policies = PlacementRegistry::Instance().names();
   if (std::find(policies.begin(), policies.end(), settings.placement) ==
       policies.end()) {
@@ -224,6 +282,11 @@
   }
   CheckNames(settings, file, &findings);
   if (!findings.empty()) return tl::unexpected(std::move(findings));
+  if (settings.seed_port != 0) {
+    for (Address& seed : settings.seeds) {
+      seed.port = static_cast<uint16_t>(settings.seed_port);
+    }
+  }
   return settings;
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,7 +20,22 @@
   std::string log_level;
   Millis stop_timeout{0};
 
+  std::string deployment;
+
+  Address callers;
+  Address readiness;
+  uint32_t caller_threads = 0;
+  Millis stop_accepting_after{0};
+
+  Address announcements;
+  Address worker;
+  Millis worker_lease{0};
+
+  Address store;
+  Millis store_timeout{0};
+
   std::vector<Address> seeds;
+  uint32_t seed_port = 0;
   Millis gossip_interval{0};
   uint32_t gossip_fanout = 0;
   Millis suspect_after{0};
--- a/src/platform/etcd_store.cc
+++ b/src/store/etcd_store.cc
@@ -1,11 +1,11 @@
-#include "platform/etcd_store.h"
+#include "store/etcd_store.h"
 
 #include <curl/curl.h>
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "http/job_json.h"
+#include "http/base64.h"
 
 namespace qs {
 namespace {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -22,6 +22,7 @@
 constexpr uint8_t kMaxJobState = static_cast<uint8_t>(JobState::kRefused);
 constexpr uint8_t kMaxServingState =
     static_cast<uint8_t>(ServingState::kStopping);
+constexpr uint8_t kMaxRunOutcome = static_cast<uint8_t>(RunOutcome::kLost);
 constexpr uint8_t kMaxPhase = static_cast<uint8_t>(GrantPhase::kEnded);
 
 uint32_t ToWire(Millis value) {
@@ -47,6 +48,10 @@
           static_cast<uint8_t>(load.state)};
 }
 
+fb::Resources ToFb(const Resources& resources) {
+  return {resources.cpu_millis, resources.memory_mb, resources.accelerators};
+}
+
 Offset<fb::TaskResult> ToFb(Builder* b, const TaskResult& result) {
   const auto output = Bytes(b, result.output);
   return fb::CreateTaskResult(*b, static_cast<uint8_t>(result.outcome),
@@ -195,6 +200,45 @@
                                  document)
                 .Union()};
   }
+  Written operator()(const RunOrders& m) const {
+    std::vector<Offset<fb::RunOrder>> orders;
+    orders.reserve(m.orders.size());
+    for (const RunOrder& order : m.orders) {
+      const auto task = b->CreateString(order.task);
+      const auto service = b->CreateSharedString(order.service);
+      const auto payload = Bytes(b, order.payload);
+      const fb::Resources need = ToFb(order.need);
+      orders.push_back(fb::CreateRunOrder(
+          *b, order.number, task, order.attempt, order.step_tag,
+          order.max_per_worker, service, payload, &need, ToWire(order.estimate),
+          ToWire(order.slack), ToWire(order.remaining)));
+    }
+    const auto order_vector = b->CreateVector(orders);
+    const auto stop_vector = b->CreateVector(m.stops);
+    return {fb::Body::RunOrders, fb::CreateRunOrders(*b, m.echo, m.waiting_work,
+                                                     order_vector, stop_vector)
+                                     .Union()};
+  }
+  Written operator()(const RunReport& m) const {
+    std::vector<fb::RunEnd> ends;
+    ends.reserve(m.ends.size());
+    for (const RunEnd& end : m.ends) {
+      ends.emplace_back(end.number, static_cast<uint8_t>(end.outcome),
+                        static_cast<uint8_t>(end.reason), ToWire(end.run_time));
+    }
+    const auto service = b->CreateString(m.service);
+    const auto rack = b->CreateString(m.rack);
+    const auto labels = b->CreateVectorOfStrings(m.labels);
+    const auto end_vector = b->CreateVectorOfStructs(ends);
+    const fb::Resources capacity = ToFb(m.capacity);
+    const fb::Resources used = ToFb(m.used);
+    return {fb::Body::RunReport,
+            fb::CreateRunReport(
+                *b, m.stamp, m.seen_order, m.earlier_runs, m.is_settled,
+                static_cast<uint8_t>(m.state), service, rack, labels, &capacity,
+                &used, m.queued_work, m.waiting_work, m.slowness, end_vector)
+                .Union()};
+  }
 };
 
 // Reads one frame body; `valid` turns false at the first value out of range.
@@ -232,6 +276,10 @@
         return ReadAdminRequest(*frame.body_as_AdminRequest());
       case fb::Body::AdminReply:
         return ReadAdminReply(*frame.body_as_AdminReply());
+      case fb::Body::RunOrders:
+        return ReadRunOrders(*frame.body_as_RunOrders());
+      case fb::Body::RunReport:
+        return ReadRunReport(*frame.body_as_RunReport());
       default:
         valid_ = false;
         return Hello{};
@@ -386,6 +434,62 @@
     return {m.request(), ReasonFromWire(m.reason()), Text(m.document())};
   }
 
+  // Quantities beyond any worker would overflow the sums of their readers.
+  Resources ReadResources(const fb::Resources* r) {
+    if (r == nullptr) return {};
+    constexpr int64_t kMax = int64_t{1} << 40U;
+    const auto in_range = [](int64_t v) { return v >= 0 && v <= kMax; };
+    if (!in_range(r->cpu_millis()) || !in_range(r->memory_mb()) ||
+        !in_range(r->accelerators())) {
+      valid_ = false;
+      return {};
+    }
+    return {r->cpu_millis(), r->memory_mb(), r->accelerators()};
+  }
+
+  RunOrders ReadRunOrders(const fb::RunOrders& m) {
+    RunOrders out;
+    out.echo = m.echo();
+    out.waiting_work = m.waiting_work();
+    ForEach(m.orders(), [&](const fb::RunOrder& order) {
+      out.orders.push_back(
+          {order.number(), Text(order.task()), order.attempt(),
+           order.step_tag(), order.max_per_worker(), Text(order.service()),
+           Text(order.payload()), ReadResources(order.need()),
+           Millis(order.estimate_ms()), Millis(order.slack_ms()),
+           Millis(order.remaining_ms())});
+    });
+    if (m.stops() != nullptr) {
+      out.stops.assign(m.stops()->begin(), m.stops()->end());
+    }
+    return out;
+  }
+
+  RunReport ReadRunReport(const fb::RunReport& m) {
+    RunReport out;
+    out.stamp = m.stamp();
+    out.seen_order = m.seen_order();
+    out.earlier_runs = m.earlier_runs();
+    out.is_settled = m.is_settled();
+    out.state = Enum<ServingState>(m.state(), kMaxServingState);
+    out.service = Text(m.service());
+    out.rack = Text(m.rack());
+    if (m.labels() != nullptr) {
+      for (const auto* label : *m.labels()) out.labels.push_back(label->str());
+    }
+    out.capacity = ReadResources(m.capacity());
+    out.used = ReadResources(m.used());
+    out.queued_work = m.queued_work();
+    out.waiting_work = m.waiting_work();
+    out.slowness = m.slowness();
+    ForEach(m.ends(), [&](const fb::RunEnd& end) {
+      out.ends.push_back(
+          {end.number(), Enum<RunOutcome>(end.outcome(), kMaxRunOutcome),
+           ReasonFromWire(end.reason()), Millis(end.run_time_ms())});
+    });
+    return out;
+  }
+
   bool valid_ = true;
 };
 
@@ -397,6 +501,12 @@
   return kNames.at(static_cast<size_t>(state));
 }
 
+std::string_view RunOutcomeName(RunOutcome outcome) {
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "done", "failed", "not_started", "lost"};
+  return kNames.at(static_cast<size_t>(outcome));
+}
+
 std::string EncodeFrame(const Message& message) {
   Builder builder;
   const auto [type, body] = std::visit(BodyWriter{&builder}, message);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
+#include "quetzalspindle/held_job.h"
 #include "quetzalspindle/ids.h"
 #include "quetzalspindle/job.h"
 
@@ -152,9 +154,68 @@
   std::string document;
 };
 
-using Message =
-    std::variant<Hello, MintRequest, MintReply, SubmitRequest, QueryRequest,
-                 CancelRequest, JobReply, GrantBatch, AskBatch, GrantReplies,
-                 Gossip, ConfigOffer, AdminRequest, AdminReply>;
+// Runs of held jobs. A run is one start of one task on one worker. Runs belong
+// to the connection that ordered them: when it ends, the guard stops them.
+
+// From an entry to a guard: start one task.
+struct RunOrder {
+  uint64_t number = 0;    // Of the entry's incarnation; rises, never reused.
+  std::string task;       // Name of the task, the same for all its runs.
+  uint32_t attempt = 1;   // Rises with each run of the task.
+  uint32_t step_tag = 0;  // Equal for the tasks of one step of one job.
+  uint32_t max_per_worker = 0;  // Runs with one step_tag here; 0: no limit.
+  std::string service;
+  std::string payload;
+  Resources need;
+  Millis estimate{0};
+  Millis slack{0};      // Until the run must start for the job to be on time.
+  Millis remaining{0};  // Until the run is of no use.
+};
+
+struct RunOrders {
+  uint64_t echo = 0;  // `stamp` of the newest report that the entry has.
+  uint64_t waiting_work = 0;  // Core-milliseconds that wait at the entry.
+  std::vector<RunOrder> orders;
+  std::vector<uint64_t> stops;  // Numbers of runs to end.
+};
+
+enum class RunOutcome : uint8_t {
+  kDone,
+  kFailed,      // Ran and failed.
+  kNotStarted,  // Did not start and never will.
+  kLost,        // Started and was ended without a result.
+};
+std::string_view RunOutcomeName(RunOutcome outcome);
+
+// The certain end of a run: nothing of it goes on.
+struct RunEnd {
+  uint64_t number = 0;
+  RunOutcome outcome = RunOutcome::kNotStarted;
+  Reason reason = Reason::kNone;
+  Millis run_time{0};
+};
+
+// From a guard to an entry: its worker, and ends of the entry's runs.
+struct RunReport {
+  uint64_t stamp = 0;         // The guard's clock in ms; rises.
+  uint64_t seen_order = 0;    // Highest run number received from this entry.
+  uint32_t earlier_runs = 0;  // Of former connections of this entry, not ended.
+  bool is_settled = false;    // Nothing of a former run of the guard goes on.
+  ServingState state = ServingState::kAbsent;
+  std::string service;
+  std::string rack;
+  std::vector<std::string> labels;
+  Resources capacity;
+  Resources used;
+  uint64_t queued_work = 0;   // Core-milliseconds that wait at the guard.
+  uint64_t waiting_work = 0;  // As told by all entries together.
+  uint32_t slowness = 100;    // Run time in percent of the estimate.
+  std::vector<RunEnd> ends;
+};
+
+using Message = std::variant<Hello, MintRequest, MintReply, SubmitRequest,
+                             QueryRequest, CancelRequest, JobReply, GrantBatch,
+                             AskBatch, GrantReplies, Gossip, ConfigOffer,
+                             AdminRequest, AdminReply, RunOrders, RunReport>;
 
 }  // namespace qs
--- a/tests/config_store_test.cc
+++ b/tests/config_store_test.cc
@@ -1,4 +1,4 @@
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/fuzz/readers.cc
+++ b/tests/fuzz/readers.cc
@@ -5,6 +5,7 @@
 
 #include "ctl/row_filter.h"
 #include "http/announcement_json.h"
+#include "http/base64.h"
 #include "http/job_json.h"
 #include "quetzalspindle/ids.h"
 #include "settings/settings.h"
--- a/tools/fake_platform.cc
+++ b/tools/fake_platform.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "civetweb.h"
+#include "http/base64.h"
 #include "http/job_json.h"
 #include "quetzalspindle/address.h"
 #include "quetzalspindle/time.h"
