Reload settings on SIGHUP, and stop without waiting for the store

Change: SIGHUP and a changed file are read, checked and taken over where that needs no restart; the watch is told to end when the stop begins; the callers' front closes only when it is idle, and closed connections are closed for real.

--- a/src/daemon/config_agent.h
+++ b/src/daemon/config_agent.h
@@ -32,6 +32,8 @@
       ConfigSource source, std::unique_ptr<PlatformStore> store,
       std::function<void(StoredConfig)> on_config);
   ~ConfigAgent();
+  // Makes no further call to the store; does not wait for the present one.
+  void BeginStop() { stopped_ = true; }
   ConfigAgent(const ConfigAgent&) = delete;
   ConfigAgent& operator=(const ConfigAgent&) = delete;
 
--- a/src/daemon/job_entry_role.cc
+++ b/src/daemon/job_entry_role.cc
@@ -103,12 +103,15 @@
   stop_began_ = Clock::now();
   desk_->BeginStop(stop_began_ + kernel_->settings.stop_timeout - kStopMargin);
   front_->BeginStop();
+  // Its last call to the store may take as long as the rest of the stop. Until
+  // then, news of the configuration comes from other entries.
+  config_agent_->BeginStop();
 }
 
 bool JobEntryRole::OnIsIdle() const {
   const auto stopping_for = Clock::now() - stop_began_;
   return stopping_for >= kernel_->settings.stop_accepting_after &&
-         desk_->held_jobs() == 0 && front_->in_progress() == 0;
+         desk_->held_jobs() == 0 && front_->CloseIfIdle();
 }
 
 void JobEntryRole::OnFinish() {
@@ -119,6 +122,10 @@
   if (node_) node_->Close();
 }
 
+void JobEntryRole::OnReload(const Settings& settings) {
+  node_->AddSeeds(settings.seeds);
+}
+
 void JobEntryRole::OnTick(Instant now) {
   const Millis suspended = suspend_watch_.Check();
   if (suspended > Millis(0)) {
--- a/src/daemon/job_entry_role.h
+++ b/src/daemon/job_entry_role.h
@@ -31,6 +31,7 @@
   void OnBeginStop() override;
   bool OnIsIdle() const override;
   void OnFinish() override;
+  void OnReload(const Settings& settings) override;
 
   void OnLinkUp(Address address, const Hello& hello) override;
   void OnLinkDown(Address address, Incarnation incarnation) override;
--- a/src/daemon/job_front.cc
+++ b/src/daemon/job_front.cc
@@ -47,13 +47,23 @@
   return {};
 }
 
+// A handler counts itself before it looks at is_closed_, so that either it sees
+// the front closed or it is seen here.
+bool JobFront::CloseIfIdle() {
+  is_closed_ = true;
+  if (in_progress_ == 0) return true;
+  is_closed_ = false;
+  return false;
+}
+
 void JobFront::Stop() {
   if (http_) http_->Stop();
 }
 
 HttpResponse JobFront::OnRequest(const HttpRequest& request) {
   ++in_progress_;
-  HttpResponse response = Serve(request);
+  HttpResponse response =
+      is_closed_ ? Refuse(Reason::kStopping, request.path, "") : Serve(request);
   response.close = is_stopping_;
   --in_progress_;
   return response;
--- a/src/daemon/job_front.h
+++ b/src/daemon/job_front.h
@@ -32,12 +32,13 @@
   // Answers end their connections from now on, so that callers go elsewhere.
   void BeginStop() { is_stopping_ = true; }
 
+  // Takes no request from now on, unless one is in progress. Returns whether
+  // the front is closed.
+  bool CloseIfIdle();
+
   std::error_code Start();
   void Stop();
 
-  // Requests whose answer was not yet written.
-  int in_progress() const { return in_progress_; }
-
  private:
   using CatalogPointer = std::shared_ptr<const Catalog>;
 
@@ -56,6 +57,7 @@
   std::atomic<uint64_t> next_caller_{1};
   std::atomic<int> in_progress_{0};
   std::atomic<bool> is_stopping_{false};
+  std::atomic<bool> is_closed_{false};  // The core thread answers no more.
   std::mutex mutex_;
   std::unordered_map<uint64_t, std::shared_ptr<std::promise<HeldAnswer>>>
       waiting_;
--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -81,6 +81,10 @@
   if (node_) node_->Close();
 }
 
+void JobGuardRole::OnReload(const Settings& settings) {
+  node_->AddSeeds(settings.seeds);
+}
+
 void JobGuardRole::OnTick(Instant now) {
   const Millis suspended = suspend_watch_.Check();
   if (suspended > Millis(0)) {
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,7 +3,9 @@
 #include <CLI/CLI.hpp>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 #include "base/log.h"
 #include "base/version.h"
@@ -17,12 +19,17 @@
 constexpr int kExitCannotStart = 3;
 constexpr int kExitWorkCut = 4;
 constexpr qs::Millis kStopTick{20};
+// Settings may also change without a signal.
+constexpr qs::Millis kFileCheck{2000};
 
 // Runs a role until a signal, then stops it gracefully.
 class Daemon {
  public:
-  explicit Daemon(qs::Settings settings)
-      : kernel_(std::move(settings)), signals_(kernel_.io, SIGTERM, SIGINT) {}
+  Daemon(qs::Settings settings, std::string path)
+      : path_(std::move(path)),
+        kernel_(std::move(settings)),
+        signals_(kernel_.io, SIGTERM, SIGINT),
+        reload_signal_(kernel_.io, SIGHUP) {}
 
   int Run() {
     const qs::Settings& settings = kernel_.settings;
@@ -43,11 +50,45 @@
     signals_.async_wait([this](std::error_code e, int) {
       if (!e) BeginStop();
     });
+    AwaitReload();
+    file_text_ = ReadFile();
+    kernel_.timers.Subscribe(kFileCheck, [this](qs::Instant) {
+      if (ReadFile() != file_text_) Reload("file_changed");
+    });
     kernel_.io.run();
     return exit_code_;
   }
 
  private:
+  void AwaitReload() {
+    reload_signal_.async_wait([this](std::error_code e, int) {
+      if (e) return;
+      Reload("signal");
+      AwaitReload();
+    });
+  }
+
+  std::string ReadFile() const {
+    std::ifstream stream(path_, std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+  }
+
+  // Faulty settings change nothing; the process goes on with those it has.
+  void Reload(const char* cause) {
+    file_text_ = ReadFile();
+    const qs::Checked<qs::Settings> settings =
+        qs::ParseSettings(path_, file_text_);
+    if (!settings) {
+      qs::Log(qs::LogLevel::kError, "reload_refused",
+              {{"cause", cause}, {"findings", settings.error().ToText()}});
+      return;
+    }
+    role_->Reload(*settings);
+    qs::Log(qs::LogLevel::kInfo, "reloaded", {{"cause", cause}});
+  }
+
   void BeginStop() {
     qs::Log(qs::LogLevel::kInfo, "stopping", {});
     stop_started_ = qs::Clock::now();
@@ -69,8 +110,11 @@
     kernel_.io.stop();
   }
 
+  std::string path_;
+  std::string file_text_;  // As last read.
   qs::Kernel kernel_;
   asio::signal_set signals_;
+  asio::signal_set reload_signal_;
   std::unique_ptr<qs::RolePlugin> role_;
   qs::Instant stop_started_;
   int exit_code_ = kExitOk;
@@ -126,5 +170,5 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   qs::InitLog(settings->log_level, settings->listen.ToString());
-  return Daemon(std::move(*settings)).Run();
+  return Daemon(std::move(*settings), path).Run();
 }
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -50,10 +50,7 @@
   auto network = PeerNetwork::Make(&kernel->io, self, node.get());
   if (!network) return tl::unexpected(network.error());
   node->network_ = std::move(*network);
-  for (const Address seed : kernel->settings.seeds) {
-    node->membership_.AddSeed(seed);
-    node->network_->KeepLink(seed);
-  }
+  node->AddSeeds(kernel->settings.seeds);
   kernel->timers.Subscribe(
       kernel->settings.gossip_interval,
       [raw = node.get()](Instant now) { raw->GossipRound(now); });
@@ -87,6 +84,13 @@
   if (network_) network_->Close();
 }
 
+void Node::AddSeeds(const std::vector<Address>& seeds) {
+  for (const Address seed : seeds) {
+    membership_.AddSeed(seed);
+    network_->KeepLink(seed);
+  }
+}
+
 void Node::StartPlatformAgent() {
   const Settings& settings = kernel_->settings;
   std::unique_ptr<PlatformStore> store = kernel_->MakeStore();
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -45,6 +45,7 @@
   // and passes it on.
   const Configuration& configuration() const { return configuration_; }
   void OfferConfig(uint64_t version, const std::string& document);
+  void AddSeeds(const std::vector<Address>& seeds);
   // Whether the members were learned, from the platform or from a peer.
   bool is_warm() const { return is_warm_; }
   void Close();
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -109,7 +109,9 @@
   const auto* server = static_cast<const HttpServer*>(self);
   bool close = false;
   const HttpResponse response = server->Serve(connection, &close);
-  Write(connection, response, close || response.close);
+  close = close || response.close;
+  if (close) mg_disable_connection_keep_alive(connection);
+  Write(connection, response, close);
   return response.status;
 }
 
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -44,12 +44,15 @@
   bool IsIdle() const { return OnIsIdle(); }
   // Releases threads and sockets.
   void Finish() { OnFinish(); }
+  // The settings file holds these now. Takes over what needs no restart.
+  void Reload(const Settings& settings) { OnReload(settings); }
 
  private:
   virtual std::error_code OnStart() = 0;
   virtual void OnBeginStop() = 0;
   virtual bool OnIsIdle() const = 0;
   virtual void OnFinish() = 0;
+  virtual void OnReload(const Settings& /*settings*/) {}
 };
 
 using RoleFactory = std::unique_ptr<RolePlugin> (*)(Kernel* kernel);
