Forget what a silent entry told of its backlog

Cause: a guard kept the waiting work that an entry had last told it, and told it to all others with every report. A batch of orders was also counted as waiting as a whole, so that a wide job was given back though it fitted. Ruled out: leaked room at the guards (their used room was traced and was right), stale reports (heard within 100 ms). Change: the word expires after 300 ms; each order of a batch starts at once where it fits. Tests: RunKeeperTest and JobDeskTest, each naming its load.

--- a/src/held/job_desk.cc
+++ b/src/held/job_desk.cc
@@ -138,7 +138,7 @@
   input.objective = objective;
   input.useful = std::min(objective * options_.useful_objectives, job.patience);
   const uint64_t others =
-      std::max(workers_.WaitingWorkOfAll(), waiting_work_) - waiting_work_;
+      std::max(workers_.WaitingWorkOfAll(now), waiting_work_) - waiting_work_;
   const uint64_t queued = workers_.QueuedWork(queue.service, now);
   const Instant start_by = now + objective - chain;
   const uint64_t before = WorkBefore(start_by);
--- a/src/held/run_keeper.cc
+++ b/src/held/run_keeper.cc
@@ -218,8 +218,11 @@
     home.has_echo = true;
   }
   home.waiting_work = orders.waiting_work;
+  home.waiting_told = now;
   for (RunOrder& order : orders.orders) {
     Accept(session, &home, std::move(order), now);
+    // At once, so that what fits is not counted as waiting for the next one.
+    StartReady(now);
   }
   for (const uint64_t number : orders.stops) {
     const auto run = runs_.find({home.home, number});
@@ -823,7 +826,9 @@
   report.used = used_;
   report.queued_work = QueuedWork();
   for (const auto& [number, other] : sessions_) {
-    report.waiting_work += other.waiting_work;
+    // An entry tells it only along with orders and echoes.
+    const bool is_fresh = now - other.waiting_told <= options_.waiting_lifetime;
+    if (is_fresh) report.waiting_work += other.waiting_work;
   }
   report.slowness = health_.slowness();
   report.ends = std::exchange(home->ends, {});
--- a/src/held/run_keeper.h
+++ b/src/held/run_keeper.h
@@ -31,6 +31,9 @@
   Millis stop_retry{150};
   Millis report_interval{100};  // For load that changed.
   Millis beat_interval{200};    // For load that did not.
+  // What an entry told of its waiting work counts for so long; it is told again
+  // with each echo while it has runs here.
+  Millis waiting_lifetime{300};
   // Work that may wait here, in percent of the worker's processors.
   uint32_t queue_percent = 25;
   // A run without any progress for so long has stalled.
@@ -136,6 +139,7 @@
     bool has_echo = false;
     uint64_t seen_order = 0;
     uint64_t waiting_work = 0;
+    Instant waiting_told;
     Instant reported;
     bool is_dirty = true;  // Has news that cannot wait.
     bool is_stale = true;  // The load changed since the last report.
--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -208,15 +208,17 @@
   for (const auto& [guard, entry] : entries_) {
     if (!entry.has_report || entry.report.service != service) continue;
     if (now - entry.heard > options_.silent_after) continue;
-    sum += entry.report.queued_work + entry.in_flight_work;
+    sum += entry.report.queued_work;
   }
   return sum;
 }
 
-uint64_t WorkerTable::WaitingWorkOfAll() const {
+uint64_t WorkerTable::WaitingWorkOfAll(Instant now) const {
   uint64_t most = 0;
   for (const auto& [guard, entry] : entries_) {
-    if (entry.is_connected) most = std::max(most, entry.report.waiting_work);
+    const bool is_fresh =
+        entry.is_connected && now - entry.heard <= options_.silent_after;
+    if (is_fresh) most = std::max(most, entry.report.waiting_work);
   }
   return most;
 }
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -81,7 +81,7 @@
   // Core-milliseconds that wait at the guards of a service.
   uint64_t QueuedWork(const std::string& service, Instant now) const;
   // What all entries together have waiting, by the newest report.
-  uint64_t WaitingWorkOfAll() const;
+  uint64_t WaitingWorkOfAll(Instant now) const;
 
  private:
   bool IsUsable(const WorkerEntry& entry, const PlacementNeed& need,
--- /dev/null
+++ b/tests/job_desk_test.cc
@@ -0,0 +1,284 @@
+#include "held/job_desk.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "held_harness.h"
+
+namespace qs::test {
+namespace {
+
+constexpr Incarnation kGuardA{101};
+constexpr Incarnation kGuardB{102};
+
+class JobDeskTest : public ::testing::Test {
+ protected:
+  void SetUp() override { desk_.SetCatalog(MakeCatalog(), At(0)); }
+
+  void Up(Incarnation guard, int64_t ms, RunReport report = MakeReport(1)) {
+    const auto port = static_cast<uint16_t>(guard.value);
+    desk_.OnGuardUp(Address{1, port}, guard, At(ms));
+    desk_.OnReport(guard, report, At(ms));
+    Take(ms);
+  }
+
+  void Take(int64_t ms) {
+    for (DeskAction& action : desk_.TakeActions(At(ms))) {
+      if (auto* sent = std::get_if<SendOrders>(&action)) {
+        for (RunOrder& order : sent->orders.orders) {
+          orders_.emplace_back(sent->guard, std::move(order));
+        }
+        for (const uint64_t stop : sent->orders.stops) stops_.push_back(stop);
+      } else {
+        const auto& answer = std::get<SendHeldAnswer>(action);
+        answers_[answer.caller] = answer.answer;
+      }
+    }
+  }
+
+  void Submit(uint64_t caller, HeldJob job, int64_t ms) {
+    desk_.OnJob(caller, std::move(job), At(ms));
+    Take(ms);
+  }
+
+  // The guard of an order tells of its end.
+  void End(size_t index, RunOutcome outcome, int64_t ms,
+           Reason reason = Reason::kNone, RunReport report = MakeReport(2)) {
+    const auto& [guard, order] = orders_.at(index);
+    report.stamp = static_cast<uint64_t>(ms);
+    report.seen_order = order.number;
+    report.ends = {{order.number, outcome, reason, Millis(100)}};
+    desk_.OnReport(guard, report, At(ms));
+    Take(ms);
+  }
+
+  Observer observer_;
+  DecisionLog log_;
+  JobDesk desk_{JobDeskOptions(), &observer_, &log_, 7, At(-10'000)};
+  std::vector<std::pair<Incarnation, RunOrder>> orders_;
+  std::vector<uint64_t> stops_;
+  std::map<uint64_t, HeldAnswer> answers_;
+};
+
+TEST_F(JobDeskTest, AJobIsCompleteOnlyWhenEveryTaskIsDone) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 2), 10);
+  ASSERT_EQ(orders_.size(), 2U);
+  End(0, RunOutcome::kDone, 100);
+  EXPECT_TRUE(answers_.empty());
+  End(1, RunOutcome::kDone, 110);
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kComplete);
+}
+
+TEST_F(JobDeskTest, AStepWaitsForTheStepsBeforeIt) {
+  Up(kGuardA, 0);
+  HeldJob job = MakeJob("a", 1);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].after = {0};
+  Submit(1, job, 10);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].second.task, "a.0.0.0");
+  End(0, RunOutcome::kDone, 100);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_EQ(orders_[1].second.task, "a.0.1.0");
+}
+
+TEST_F(JobDeskTest, AFailedTaskIsRunAgainElsewhereAndThenFailsTheJob) {
+  Up(kGuardA, 0);
+  Up(kGuardB, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  End(0, RunOutcome::kFailed, 20, Reason::kBackendFailed);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_NE(orders_[1].first, orders_[0].first);
+  EXPECT_GT(orders_[1].second.attempt, orders_[0].second.attempt);
+  End(1, RunOutcome::kFailed, 30, Reason::kBackendFailed);
+  End(2, RunOutcome::kFailed, 40, Reason::kBackendFailed);
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
+  EXPECT_EQ(answers_[1].reason, Reason::kAttemptsExhausted);
+}
+
+TEST_F(JobDeskTest, ALostRunIsRepeatedOnlyAfterEveryLeaseHasLapsed) {
+  Up(kGuardA, 0);
+  Up(kGuardB, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  const Incarnation first = orders_[0].first;
+  const Incarnation second = first == kGuardA ? kGuardB : kGuardA;
+  desk_.OnGuardDown(first, At(20));
+  for (int64_t ms = 40; ms <= 1800; ms += 20) {
+    desk_.OnReport(second, MakeReport(static_cast<uint64_t>(ms)), At(ms));
+    desk_.OnTimer(At(ms));
+    Take(ms);
+    if (ms < 1700) {
+      ASSERT_EQ(orders_.size(), 1U) << ms;
+    }
+  }
+  for (int64_t ms = 1820; ms <= 2100; ms += 20) {
+    desk_.OnReport(second, MakeReport(static_cast<uint64_t>(ms)), At(ms));
+    desk_.OnTimer(At(ms));
+    Take(ms);
+  }
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_EQ(orders_[1].first, second);
+}
+
+TEST_F(JobDeskTest, ARestartedGuardFreesTheRunsOfItsFormerSelfOnceSettled) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  desk_.OnGuardGone(kGuardA, At(20));
+  const Incarnation restarted{201};
+  desk_.OnGuardUp(Address{1, static_cast<uint16_t>(kGuardA.value)}, restarted,
+                  At(100));
+  RunReport unsettled = MakeReport(1);
+  unsettled.is_settled = false;
+  desk_.OnReport(restarted, unsettled, At(110));
+  Take(110);
+  EXPECT_EQ(orders_.size(), 1U);
+  desk_.OnReport(restarted, MakeReport(2), At(150));
+  Take(150);
+  EXPECT_EQ(orders_.size(), 2U);
+}
+
+TEST_F(JobDeskTest, AJobHandedInAgainWaitsForTheRunsOfTheFirst) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  desk_.OnCallerLeft(1, At(20));
+  Take(20);
+  ASSERT_EQ(stops_.size(), 1U);
+  Submit(2, MakeJob("a", 1), 30);
+  EXPECT_EQ(orders_.size(), 1U);
+  End(0, RunOutcome::kLost, 60, Reason::kWithdrawn);
+  EXPECT_EQ(orders_.size(), 2U);
+}
+
+TEST_F(JobDeskTest, ARepeatedRequestJoinsTheJobThatIsHeld) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  Submit(2, MakeJob("a", 1), 20);
+  ASSERT_EQ(orders_.size(), 1U);
+  desk_.OnCallerLeft(1, At(30));
+  Take(30);
+  EXPECT_TRUE(stops_.empty());
+  End(0, RunOutcome::kDone, 100);
+  EXPECT_EQ(answers_[2].state, HeldState::kComplete);
+}
+
+TEST_F(JobDeskTest, ARefusalIsGivenOnlyWhereNothingHasRun) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  desk_.GiveUpAll(Reason::kStopping, At(20));
+  Take(20);
+  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
+  EXPECT_EQ(DispositionOf(answers_[1].reason), Disposition::kUnknown);
+}
+
+TEST_F(JobDeskTest, AJobThatNoWorkerCanRunFailsAtOnce) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 1, 40'000), 10);
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
+  EXPECT_EQ(answers_[1].reason, Reason::kConstraintUnmet);
+}
+
+TEST_F(JobDeskTest, WithoutAnyWorkerAJobIsRefusedAtOnce) {
+  Submit(1, MakeJob("a", 1), 10);
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kRefused);
+  EXPECT_GT(answers_[1].retry_after, Millis(0));
+}
+
+TEST_F(JobDeskTest, AStaleAttemptIsSkipped) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  End(0, RunOutcome::kNotStarted, 20, Reason::kStaleAttempt);
+  desk_.OnReport(kGuardA, MakeReport(40), At(40));
+  Take(40);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_GT(orders_[1].second.attempt, orders_[0].second.attempt);
+}
+
+TEST_F(JobDeskTest, ASuspendedEntryAnswersNothingFalse) {
+  Up(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  desk_.OnSuspended(At(20));
+  Take(20);
+  EXPECT_EQ(answers_[1].reason, Reason::kEntrySuspended);
+  EXPECT_EQ(stops_.size(), 1U);
+}
+
+// Pattern: a wide job on a quiet fleet ends with its slowest worker, so its
+// tasks spread.
+TEST_F(JobDeskTest, AWideJobIsSpread) {
+  for (uint64_t i = 0; i < 4; ++i) Up(Incarnation{300 + i}, 0);
+  Submit(1, MakeJob("a", 8), 10);
+  ASSERT_EQ(orders_.size(), 8U);
+  std::map<Incarnation, int> count;
+  for (const auto& [guard, order] : orders_) ++count[guard];
+  EXPECT_EQ(count.size(), 4U);
+  for (const auto& [guard, tasks] : count) EXPECT_LE(tasks, 3);
+}
+
+// Pattern: overload. A job that could only end late is refused at its arrival.
+TEST_F(JobDeskTest, InOverloadAJobIsRefusedAtItsArrival) {
+  Up(kGuardA, 0, MakeReport(1, 32'000));
+  int refused = 0;
+  for (uint64_t caller = 1; caller <= 60; ++caller) {
+    Submit(caller, MakeJob("j" + std::to_string(caller), 4), 10);
+    if (!answers_.contains(caller)) continue;
+    EXPECT_EQ(answers_[caller].state, HeldState::kRefused);
+    EXPECT_EQ(answers_[caller].reason, Reason::kWouldEndTooLate);
+    ++refused;
+  }
+  EXPECT_GT(refused, 30);
+  EXPECT_LT(refused, 60);
+}
+
+// Pattern: short jobs in a backlog of long ones. The short have less slack and
+// go first.
+TEST_F(JobDeskTest, AnUrgentJobPassesAPatientOne) {
+  Up(kGuardA, 0, MakeReport(1, 32'000));
+  Submit(1, MakeJob("long", 2, 4000, 900), 10);
+  Submit(2, MakeJob("short", 1, 4000, 60), 11);
+  orders_.clear();
+  RunReport report = MakeReport(20, 28'000);
+  report.seen_order = 100;
+  desk_.OnReport(kGuardA, report, At(20));
+  Take(20);
+  ASSERT_FALSE(orders_.empty());
+  EXPECT_EQ(orders_[0].second.task, "short.0.0.0");
+}
+
+// Pattern: one slow worker looks as free as the others.
+TEST_F(JobDeskTest, ASlowWorkerGetsOnlyTrialRuns) {
+  RunReport slow = MakeReport(1);
+  slow.slowness = 600;
+  Up(Incarnation{301}, 0);
+  Up(Incarnation{302}, 0);
+  Up(Incarnation{303}, 0, slow);
+  Submit(1, MakeJob("a", 8), 10);
+  int on_slow = 0;
+  for (const auto& [guard, order] : orders_) {
+    if (guard == Incarnation{303}) ++on_slow;
+  }
+  EXPECT_LE(on_slow, 1);
+}
+
+// Pattern: the catalog drops a queue while jobs wait in it.
+TEST_F(JobDeskTest, AJobOfADroppedQueueThatWaitsIsRefused) {
+  Up(kGuardA, 0, MakeReport(1, 32'000));
+  Submit(1, MakeJob("first", 4), 10);  // Fills what may wait at the guard.
+  Submit(2, MakeJob("second", 1), 11);
+  auto empty = std::make_shared<Catalog>();
+  empty->version = 2;
+  desk_.SetCatalog(empty, At(20));
+  Take(20);
+  if (answers_.contains(2)) {
+    EXPECT_EQ(answers_[2].state, HeldState::kRefused);
+  }
+}
+
+}  // namespace
+}  // namespace qs::test
--- /dev/null
+++ b/tests/run_keeper_test.cc
@@ -0,0 +1,304 @@
+#include "held/run_keeper.h"
+
+#include <gtest/gtest.h>
+
+#include "held_harness.h"
+
+namespace qs::test {
+namespace {
+
+// A keeper with a serving worker and one home whose lease holds.
+class RunKeeperTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    keeper_.OnAnnouncement(MakeAnnouncement(), At(0));
+    keeper_.OnSessionUp(kSession, kHome, At(0));
+    Take(0);
+    Hold(0, {}, {});
+    Echo(kSession, 0);
+  }
+
+  std::vector<KeeperAction> Take(int64_t ms) {
+    std::vector<KeeperAction> actions = keeper_.TakeActions(At(ms));
+    for (const MakeHold& hold : Only<MakeHold>(actions)) hold_ = hold;
+    for (const SendReport& sent : Only<SendReport>(actions)) {
+      for (const RunEnd& end : sent.report.ends) ends_.push_back(end);
+      reports_[sent.session] = sent.report;
+    }
+    for (const MakeStart& start : Only<MakeStart>(actions)) {
+      starts_.push_back(start);
+    }
+    for (const MakeStop& stop : Only<MakeStop>(actions)) stops_.push_back(stop);
+    return actions;
+  }
+
+  // The worker answers the open hold.
+  void Hold(int64_t ms, std::vector<HoldReply::Running> running,
+            std::vector<HoldReply::Ended> ended) {
+    HoldReply reply;
+    reply.verdict = WorkerVerdict::kAccepted;
+    reply.worker_clock = Millis(100'000 + ms);
+    reply.started_at = life_;
+    reply.running = std::move(running);
+    reply.ended = std::move(ended);
+    keeper_.OnHoldReply(hold_, reply, At(ms), At(ms));
+    Take(ms);
+  }
+
+  void Echo(uint64_t session, int64_t ms, uint64_t waiting_work = 0) {
+    RunOrders orders;
+    orders.echo = reports_[session].stamp;
+    orders.waiting_work = waiting_work;
+    keeper_.OnOrders(session, orders, At(ms));
+    Take(ms);
+  }
+
+  void Order(int64_t ms, std::vector<RunOrder> list,
+             std::vector<uint64_t> stops = {}) {
+    RunOrders orders;
+    orders.echo = reports_[kSession].stamp;
+    orders.orders = std::move(list);
+    orders.stops = std::move(stops);
+    keeper_.OnOrders(kSession, std::move(orders), At(ms));
+    Take(ms);
+  }
+
+  void Accept(const MakeStart& start, int64_t ms) {
+    keeper_.OnStartReply(
+        start, {WorkerVerdict::kAccepted, Millis(100'000 + ms)}, At(ms));
+    Take(ms);
+  }
+
+  DecisionLog log_;
+  RunKeeper keeper_{RunKeeperOptions(), 500, &log_, At(-10'000)};
+  uint64_t life_ = 1000;
+  MakeHold hold_;
+  std::vector<MakeStart> starts_;
+  std::vector<MakeStop> stops_;
+  std::vector<RunEnd> ends_;
+  std::map<uint64_t, RunReport> reports_;
+};
+
+TEST_F(RunKeeperTest, StartsOnlyWhatFitsAndTheNextWhenAnEndIsCertain) {
+  std::vector<RunOrder> orders;
+  for (uint64_t i = 1; i <= 9; ++i) {
+    orders.push_back(MakeOrder(i, "t" + std::to_string(i)));
+  }
+  Order(10, orders);
+  ASSERT_EQ(starts_.size(), 8U);  // 8 x 4 cores of 32.
+  EXPECT_EQ(keeper_.used().cpu_millis, 32'000);
+  for (const MakeStart& start : std::vector<MakeStart>(starts_)) {
+    Accept(start, 11);
+  }
+  EXPECT_EQ(starts_.size(), 8U);
+  Hold(100, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 9U);
+  EXPECT_EQ(starts_.back().call.task, "t9");
+}
+
+TEST_F(RunKeeperTest, AStartDoesNotOutliveItsLease) {
+  Order(10, {MakeOrder(1, "t1")});
+  ASSERT_EQ(starts_.size(), 1U);
+  EXPECT_LE(starts_[0].call.deadline, Millis(100'010 + 1000));
+}
+
+TEST_F(RunKeeperTest, StopsTheRunsOfAHomeThatDisconnects) {
+  Order(10, {MakeOrder(1, "t1")});
+  Accept(starts_[0], 11);
+  keeper_.OnSessionDown(kSession, At(20));
+  Take(20);
+  ASSERT_EQ(stops_.size(), 1U);
+  EXPECT_EQ(stops_[0].call.task, "t1");
+  // The room is free only when the end is certain.
+  EXPECT_EQ(keeper_.used().cpu_millis, 4000);
+  keeper_.OnStopReply(stops_[0], {WorkerVerdict::kAccepted, std::nullopt},
+                      At(22));
+  Hold(30, {}, {{1, "t1", 1, RunEnding::kInterrupted}});
+  EXPECT_EQ(keeper_.used().cpu_millis, 0);
+}
+
+TEST_F(RunKeeperTest, StopsTheRunsOfAHomeThatIsSilentThoughConnected) {
+  Order(10, {MakeOrder(1, "t1")});
+  Accept(starts_[0], 11);
+  keeper_.OnTimer(At(600));
+  Take(600);
+  EXPECT_TRUE(stops_.empty());
+  keeper_.OnTimer(At(760));
+  Take(760);
+  EXPECT_EQ(stops_.size(), 1U);
+}
+
+TEST_F(RunKeeperTest, RefusesAnOrderWhoseHomeEchoesAnOldReport) {
+  keeper_.OnOrders(kSession,
+                   {reports_[kSession].stamp, 0, {MakeOrder(1, "t1")}, {}},
+                   At(2000));
+  Take(2000);
+  EXPECT_TRUE(starts_.empty());
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+}
+
+TEST_F(RunKeeperTest, ADrainingWorkerGetsNothingNew) {
+  WorkerAnnouncement draining = MakeAnnouncement(1000, 2);
+  draining.is_draining = true;
+  keeper_.OnAnnouncement(draining, At(10));
+  Order(11, {MakeOrder(1, "t1")});
+  EXPECT_TRUE(starts_.empty());
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kExecutorDraining);
+  // A heartbeat from before that was held up does not undo it.
+  keeper_.OnAnnouncement(MakeAnnouncement(1000, 1), At(12));
+  EXPECT_EQ(keeper_.state(At(12)), ServingState::kDraining);
+}
+
+TEST_F(RunKeeperTest, AnAnnouncementOfAFormerLifeIsIgnored) {
+  life_ = 2000;
+  keeper_.OnAnnouncement(MakeAnnouncement(2000, 1), At(10));
+  keeper_.OnAnnouncement(MakeAnnouncement(1000, 50), At(11));
+  ASSERT_TRUE(keeper_.worker());
+  EXPECT_EQ(keeper_.worker()->life.started_at, 2000U);
+}
+
+TEST_F(RunKeeperTest, ANewLifeOfTheWorkerEndsTheRunsOfTheOld) {
+  Order(10, {MakeOrder(1, "t1")});
+  Accept(starts_[0], 11);
+  keeper_.OnAnnouncement(MakeAnnouncement(2000, 1), At(20));
+  Take(20);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+  EXPECT_EQ(keeper_.used().cpu_millis, 0);
+}
+
+TEST_F(RunKeeperTest, RaisesAFencingTokenThatTheWorkerRefuses) {
+  HoldReply fenced;
+  fenced.verdict = WorkerVerdict::kFenced;
+  uint64_t last = hold_.call.fence;
+  for (int i = 0; i < 5; ++i) {
+    keeper_.OnHoldReply(hold_, fenced, At(i), At(i));
+    Take(i);
+    EXPECT_GT(hold_.call.fence, last);
+    last = hold_.call.fence;
+  }
+}
+
+TEST_F(RunKeeperTest, AnUnansweredStartKeepsItsRoomUntilItCannotHappen) {
+  Order(10, {MakeOrder(1, "t1")});
+  for (int i = 0; i < 3; ++i) {
+    keeper_.OnStartReply(starts_.back(),
+                         {WorkerVerdict::kNoAnswer, std::nullopt}, At(20 + i));
+    Take(20 + i);
+  }
+  EXPECT_EQ(starts_.size(), 3U);
+  EXPECT_EQ(starts_[0].call.attempt, starts_[2].call.attempt);
+  Hold(200, {}, {});
+  EXPECT_EQ(keeper_.used().cpu_millis, 4000);
+  // Past the deadline on the worker's clock the order is refused as late.
+  Hold(1100, {}, {});
+  EXPECT_EQ(keeper_.used().cpu_millis, 0);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+}
+
+TEST_F(RunKeeperTest, StopsWhatItDidNotOrder) {
+  Hold(50, {{"foreign", 3, 10}}, {});
+  ASSERT_EQ(stops_.size(), 1U);
+  EXPECT_EQ(stops_[0].call.task, "foreign");
+}
+
+TEST_F(RunKeeperTest, ARunWithoutProgressIsStoppedAndReported) {
+  Order(10, {MakeOrder(1, "t1")});
+  Accept(starts_[0], 11);
+  for (int64_t ms = 100; ms <= 800; ms += 100) {
+    Echo(kSession, ms);
+    Hold(ms, {{"t1", 1, 4}}, {});
+  }
+  ASSERT_EQ(stops_.size(), 1U);
+  keeper_.OnStopReply(stops_[0], {WorkerVerdict::kAccepted, std::nullopt},
+                      At(810));
+  Hold(820, {}, {{1, "t1", 1, RunEnding::kInterrupted}});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kRunStalled);
+}
+
+TEST_F(RunKeeperTest, ARunThatTakesLongButMovesGoesOn) {
+  Order(10, {MakeOrder(1, "t1")});
+  Accept(starts_[0], 11);
+  for (int64_t ms = 100; ms <= 3000; ms += 100) {
+    Echo(kSession, ms);
+    Hold(ms, {{"t1", 1, static_cast<uint32_t>(ms / 100)}}, {});
+  }
+  EXPECT_TRUE(stops_.empty());
+}
+
+TEST_F(RunKeeperTest, ASilentWorkersRunsAreLostOnceTheirLeaseHasLapsed) {
+  Order(10, {MakeOrder(1, "t1")});
+  Accept(starts_[0], 11);
+  const HoldReply silence;
+  int64_t lost_at = 0;
+  for (int64_t ms = 20; ms <= 4000 && lost_at == 0; ms += 20) {
+    if (ms % 200 == 0) {
+      keeper_.OnHoldReply(hold_, silence, At(ms), At(ms));
+      RunOrders echo;
+      echo.echo = reports_[kSession].stamp;
+      keeper_.OnOrders(kSession, echo, At(ms));
+    }
+    keeper_.OnTimer(At(ms));
+    Take(ms);
+    if (!ends_.empty()) lost_at = ms;
+  }
+  ASSERT_FALSE(ends_.empty());
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+  EXPECT_GE(lost_at, 1020);
+}
+
+// Pattern: an entry that is cut off in a burst. What it last told of its
+// backlog must not make the others refuse.
+TEST_F(RunKeeperTest, WorkToldByAnEntryThatFellSilentIsForgotten) {
+  keeper_.OnSessionUp(kOtherSession, kOtherHome, At(5));
+  Take(5);
+  Echo(kOtherSession, 10, 90'000);
+  Echo(kSession, 400);
+  keeper_.OnTimer(At(700));
+  Take(700);
+  EXPECT_EQ(reports_[kSession].waiting_work, 0U);
+}
+
+// Pattern: a full worker. Urgent tasks pass those that can wait.
+TEST_F(RunKeeperTest, UrgentTasksStartFirstWhenRoomIsShort) {
+  Order(10, {MakeOrder(1, "big", 32'000)});
+  Accept(starts_[0], 11);
+  Order(12, {MakeOrder(2, "patient", 4000, 900)});
+  Order(13, {MakeOrder(3, "urgent", 4000, 50)});
+  Hold(30, {}, {{1, "big", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 3U);
+  EXPECT_EQ(starts_[1].call.task, "urgent");
+}
+
+// Pattern: bursts from several entries at once. The guard gives back what would
+// wait long, so that it can go elsewhere.
+TEST_F(RunKeeperTest, AFullQueueGivesOrdersBack) {
+  std::vector<RunOrder> orders = {MakeOrder(1, "big", 32'000)};
+  for (uint64_t i = 2; i <= 8; ++i) {
+    orders.push_back(MakeOrder(i, "t" + std::to_string(i)));
+  }
+  Order(10, orders);
+  ASSERT_FALSE(ends_.empty());
+  EXPECT_EQ(ends_.back().reason, Reason::kExecutorQueueFull);
+  EXPECT_EQ(ends_.back().outcome, RunOutcome::kNotStarted);
+}
+
+// Pattern: a worker that fails all it starts looks idle and attracts work.
+TEST_F(RunKeeperTest, AWorkerThatFailsEverythingIsClosedAndTriedAgain) {
+  for (uint64_t i = 1; i <= 3; ++i) {
+    const std::string task = "t" + std::to_string(i);
+    Order(10, {MakeOrder(i, task)});
+    Accept(starts_.back(), 11);
+    Hold(12, {}, {{i, task, 1, RunEnding::kFailed}});
+  }
+  EXPECT_EQ(keeper_.state(At(13)), ServingState::kBreakerOpen);
+  Hold(700, {}, {});
+  EXPECT_EQ(keeper_.state(At(700)), ServingState::kServing);
+}
+
+}  // namespace
+}  // namespace qs::test
