Serve nothing before a former self's runs are gone, and judge held jobs at random

Cause: a restarted guard called itself settled after an answer that told of ends and of foreign runs alike, as it passed over the runs that the answer listed: entries then repeated tasks that still ran. Change: foreign runs in any answer mean unsettled; an unsettled guard serves nothing.

--- a/src/daemon/job_entry_role.cc
+++ b/src/daemon/job_entry_role.cc
@@ -116,9 +116,8 @@
 
 void JobEntryRole::OnFinish() {
   config_agent_.reset();
-  if (front_) front_->Stop();
-  if (process_http_) process_http_->Stop();
-  if (readiness_http_) readiness_http_->Stop();
+  HttpServer::StopAll({front_ ? front_->server() : nullptr, process_http_.get(),
+                       readiness_http_.get()});
   if (node_) node_->Close();
 }
 
--- a/src/daemon/job_front.cc
+++ b/src/daemon/job_front.cc
@@ -56,10 +56,6 @@
   return false;
 }
 
-void JobFront::Stop() {
-  if (http_) http_->Stop();
-}
-
 HttpResponse JobFront::OnRequest(const HttpRequest& request) {
   ++in_progress_;
   HttpResponse response =
--- a/src/daemon/job_front.h
+++ b/src/daemon/job_front.h
@@ -37,7 +37,8 @@
   bool CloseIfIdle();
 
   std::error_code Start();
-  void Stop();
+  // Null before Start.
+  HttpServer* server() { return http_.get(); }
 
  private:
   using CatalogPointer = std::shared_ptr<const Catalog>;
--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -77,8 +77,7 @@
 
 void JobGuardRole::OnFinish() {
   if (caller_) caller_->Stop();
-  if (announce_http_) announce_http_->Stop();
-  if (process_http_) process_http_->Stop();
+  HttpServer::StopAll({announce_http_.get(), process_http_.get()});
   if (node_) node_->Close();
 }
 
--- a/src/held/run_keeper.cc
+++ b/src/held/run_keeper.cc
@@ -601,10 +601,10 @@
   for (const HoldReply::Running& row : reply.running) {
     const auto key = by_task_.find({row.task, row.attempt});
     if (key == by_task_.end()) {
+      is_clean = false;
       // An answer that was overtaken lists what has ended since.
       if (sent <= last_end_) continue;
       // Ordered by a former run of this guard, or carried out late.
-      is_clean = false;
       log_->Note("foreign_run_stopped",
                  {{"task", row.task}, {"attempt", Text(row.attempt)}});
       actions_.emplace_back(
@@ -797,6 +797,8 @@
 ServingState RunKeeper::state(Instant now) const {
   if (is_stopping_) return ServingState::kStopping;
   if (!worker_) return ServingState::kAbsent;
+  // Runs of a former self still take room that is not known here.
+  if (!is_settled_) return ServingState::kAbsent;
   if (now - last_answer_ > options_.silent_after) return ServingState::kAbsent;
   if (worker_->is_draining) return ServingState::kDraining;
   if (health_.is_open() && !health_.ProbeDue(now)) {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <cctype>
 #include <cstring>
+#include <thread>
 
 namespace qs {
 namespace {
@@ -105,6 +106,14 @@
   context_ = nullptr;
 }
 
+void HttpServer::StopAll(const std::vector<HttpServer*>& servers) {
+  std::vector<std::thread> threads;
+  for (HttpServer* server : servers) {
+    if (server != nullptr) threads.emplace_back([server] { server->Stop(); });
+  }
+  for (std::thread& thread : threads) thread.join();
+}
+
 int HttpServer::OnRequest(mg_connection* connection, void* self) {
   const auto* server = static_cast<const HttpServer*>(self);
   bool close = false;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -50,8 +50,11 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  // Stops listening and waits for the handlers to return.
+  // Stops listening and waits for the handlers to return, and for up to two
+  // seconds for idle connections.
   void Stop();
+  // Stops several servers at the same time. Null ones are passed over.
+  static void StopAll(const std::vector<HttpServer*>& servers);
 
  private:
   HttpServer(HttpServerOptions options, std::vector<Route> routes);
--- a/tests/fuzz/readers.cc
+++ b/tests/fuzz/readers.cc
@@ -3,6 +3,8 @@
 #include <cstdlib>
 #include <span>
 
+#include "caller_http.h"
+#include "catalog_json.h"
 #include "ctl/row_filter.h"
 #include "http/announcement_json.h"
 #include "http/base64.h"
@@ -10,6 +12,7 @@
 #include "quetzalspindle/ids.h"
 #include "settings/settings.h"
 #include "wire/codec.h"
+#include "worker_http.h"
 
 namespace qs::test {
 namespace {
@@ -64,6 +67,42 @@
   Require(filter || !filter.error().empty());
 }
 
+void ReadHeldJob(const uint8_t* data, size_t size) {
+  HttpRequest request;
+  request.body = ToText(data, size);
+  const Checked<HeldJob> job = platform::CallerHttp().DecodeJob(
+      "0123456789abcdef", request, Millis(1000));
+  if (!job) {
+    Require(!job.error().empty());
+    return;
+  }
+  Require(!job->steps.empty());
+  for (const HeldStep& step : job->steps) Require(step.tasks > 0);
+}
+
+void ReadWorkerAnnouncement(const uint8_t* data, size_t size) {
+  const auto read =
+      platform::WorkerHttp().DecodeAnnouncement("w", ToText(data, size));
+  Require(read ? !read->life.id.empty() : !read.error().empty());
+}
+
+void ReadHold(const uint8_t* data, size_t size) {
+  HttpOutcome outcome;
+  outcome.fault = HttpFault::kNone;
+  outcome.status = 200;
+  outcome.body = ToText(data, size);
+  const HoldReply reply = platform::WorkerHttp().DecodeHold(outcome);
+  // An answer that cannot be read must not pass for an empty worker.
+  if (reply.verdict != WorkerVerdict::kAccepted) {
+    Require(reply.running.empty() && reply.ended.empty());
+  }
+}
+
+void ReadCatalog(const uint8_t* data, size_t size) {
+  const auto read = platform::DecodeCatalogJson(ToText(data, size));
+  Require(read || !read.error().empty());
+}
+
 void ReadBase64(const uint8_t* data, size_t size) {
   const std::string bytes = ToText(data, size);
   Require(DecodeBase64(EncodeBase64(bytes)) == bytes);
@@ -74,6 +113,23 @@
   return EncodeFrame(message).substr(kFrameHeaderBytes);
 }
 
+RunOrders RunOrdersSample() {
+  RunOrder order;
+  order.number = 4;
+  order.task = "a.0.0.1";
+  order.need = {3100, 64, 0};
+  return {7, {1, 2, 3}, {order}, {2, 3}};
+}
+
+RunReport RunReportSample() {
+  RunReport report;
+  report.stamp = 9;
+  report.labels = {"a", "r1-3"};
+  report.capacity = {32'000, 65'536, 0};
+  report.ends = {{4, RunOutcome::kLost, Reason::kRunStalled, Millis(5)}};
+  return report;
+}
+
 std::vector<std::string> FrameCorpus() {
   JobSpec job;
   job.team = "club";
@@ -91,7 +147,9 @@
           FrameBody(AskBatch{1, {2}, true, {3, 4}}),
           FrameBody(GrantReplies{{}, {{1, GrantPhase::kEnded, {}}}}),
           FrameBody(Gossip{true, {member}}),
-          FrameBody(AdminRequest{1, "jobs", ""})};
+          FrameBody(AdminRequest{1, "jobs", ""}),
+          FrameBody(RunOrdersSample()),
+          FrameBody(RunReportSample())};
 }
 
 }  // namespace
@@ -113,6 +171,26 @@
       {"id", &ReadId, {SubmissionId{{1, 2}, {3}, 4}.ToString()}},
       {"filter", &ReadFilter, {"state=failed", "age_ms>10", "team!=club"}},
       {"base64", &ReadBase64, {"QUJD", "QQ=="}},
+      {"held_job",
+       &ReadHeldJob,
+       {R"({"spec":"t","bestEffort":true,"phases":[{"count":4,"cpu":500,)"
+        R"("memMb":256,"estimateMs":900,"affinity":"r1-3"},{"count":2,)"
+        R"("after":[0],"antiAffinity":1,"constraints":"a"}]})"}},
+      {"worker_announcement",
+       &ReadWorkerAnnouncement,
+       {R"({"service":"s","address":"1.2.3.4:5","state":"ready","seq":4,)"
+        R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"born":17,)"
+        R"("labels":["a","r1-3"],"currentTimeMs":482113})"}},
+      {"hold",
+       &ReadHold,
+       {R"({"currentTimeMs":5,"born":17,"running":[["a.0.1.17",2,"",41,3]],)"
+        R"("finished":[[58,"a.0.1.9",1,"done",""]]})"}},
+      {"catalog",
+       &ReadCatalog,
+       {R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+        R"("service":"s","priority":1,"maxAttempts":4,"slackFactor":1.6,)"
+        R"("targetLatencyMs":60,"timeoutMs":1500}],"services":[{"name":"s",)"
+        R"("rejectsOverload":true}],"limits":{"maxBodyBytes":1000}})"}},
   };
   return readers;
 }
--- /dev/null
+++ b/tests/held_property_test.cc
@@ -0,0 +1,636 @@
+// Entries, guards and workers under random faults, against a naive judge that
+// sees only what workers start and end and what callers are answered.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <ostream>
+#include <random>
+#include <set>
+
+#include "held_harness.h"
+
+namespace qs::test {
+namespace {
+
+constexpr int kWorkers = 3;
+constexpr int kEntries = 2;
+constexpr int64_t kTick = 10;          // Milliseconds of simulated time.
+constexpr int64_t kFaultsEnd = 6'000;  // Then everything runs on undisturbed.
+constexpr int64_t kEnd = 16'000;
+constexpr int64_t kCapacity = 16'000;
+constexpr int64_t kResendAfter =
+    1'300;  // A caller's pause after a lost answer.
+
+struct Fault {
+  int64_t at = 0;
+  int kind = 0;
+  int target = 0;
+  int64_t length = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Fault& fault) {
+  return out << "{at " << fault.at << " kind " << fault.kind << " target "
+             << fault.target << " length " << fault.length << "}";
+}
+
+// What a worker has running, by task name and attempt.
+struct SimWorker {
+  struct Run {
+    int64_t ends_at = 0;
+    int64_t cpu = 4000;
+  };
+  uint64_t life = 1;
+  bool is_up = true;
+  uint64_t fence = 0;
+  int64_t lease_until = 0;
+  uint64_t next_end = 1;
+  std::map<std::pair<std::string, uint32_t>, Run> running;
+  std::map<std::string, uint32_t> highest;  // Attempt that ended, by task.
+  std::vector<HoldReply::Ended> ended;
+};
+
+struct Envelope {
+  int64_t at = 0;
+  std::function<void()> deliver;
+};
+
+class World {
+ public:
+  explicit World(uint32_t seed) : random_(seed) {
+    for (int i = 0; i < kWorkers; ++i) StartGuard(i);
+    for (int i = 0; i < kEntries; ++i) StartEntry(i);
+  }
+
+  void Run(const std::vector<Fault>& faults, int jobs) {
+    size_t next = 0;
+    for (now_ = 0; now_ <= kEnd; now_ += kTick) {
+      while (next < faults.size() && faults[next].at <= now_) {
+        Inject(faults[next++]);
+      }
+      if (now_ % 150 == 0 && submitted_ < jobs) Submit();
+      DeliverDue();
+      StepWorkers();
+      for (int i = 0; i < kWorkers; ++i) StepGuard(i);
+      for (int i = 0; i < kEntries; ++i) StepEntry(i);
+      for (auto& [id, caller] : callers_) StepCaller(id, &caller);
+    }
+  }
+
+  // What the judge holds against the run, empty where nothing.
+  std::string verdict;
+  int answered = 0;
+  int completed = 0;
+
+  bool AllAnswered() const {
+    for (const auto& [id, caller] : callers_) {
+      if (!caller.is_over) return false;
+    }
+    return true;
+  }
+
+ private:
+  struct Guard {
+    std::unique_ptr<RunKeeper> keeper;
+    Incarnation incarnation;
+    uint64_t epoch = 0;  // Of the process; older messages are void.
+    int64_t frozen_until = -1;
+    std::map<uint64_t, int> entry_of_session;
+  };
+  struct Entry {
+    std::unique_ptr<JobDesk> desk;
+    Incarnation incarnation;
+    uint64_t epoch = 0;
+    int64_t frozen_until = -1;
+    std::map<uint64_t, std::string> job_of_caller;
+  };
+  struct Link {
+    bool is_up = false;
+    uint64_t session = 0;
+    int64_t cut_until = -1;
+    int64_t last_due = 0;  // Keeps the order of a connection.
+  };
+  struct Caller {
+    int entry = 0;
+    uint64_t number = 0;
+    int64_t send_at = 0;
+    bool is_waiting = false;
+    bool is_over = false;
+    int64_t give_up_at = 0;
+    int sends = 0;
+  };
+
+  Instant Now() const { return At(now_); }
+  uint32_t Below(uint32_t n) {
+    return std::uniform_int_distribution<uint32_t>(0, n - 1)(random_);
+  }
+
+  void Post(int64_t delay, std::function<void()> deliver) {
+    mail_.emplace(now_ + delay, std::move(deliver));
+  }
+  void DeliverDue() {
+    while (!mail_.empty() && mail_.begin()->first <= now_) {
+      const auto deliver = std::move(mail_.begin()->second);
+      mail_.erase(mail_.begin());
+      deliver();
+    }
+  }
+
+  void StartGuard(int i) {
+    Guard& guard = guards_[i];
+    guard.incarnation = {1000 + ++incarnations_};
+    ++guard.epoch;
+    // The wall clock may have gone back since the last start.
+    const uint64_t fence = 100'000 + static_cast<uint64_t>(now_) - Below(3000);
+    guard.keeper =
+        std::make_unique<RunKeeper>(RunKeeperOptions(), fence, &log_, Now());
+    guard.entry_of_session.clear();
+    for (int e = 0; e < kEntries; ++e) CloseLink(e, i, true);
+    Post(100 + Below(300), [this, i, epoch = guard.epoch] {
+      if (guards_[i].epoch == epoch) Announce(i);
+    });
+  }
+
+  void Announce(int i) {
+    if (!workers_[i].is_up) return;
+    WorkerAnnouncement announcement =
+        MakeAnnouncement(workers_[i].life, ++announcements_, kCapacity);
+    announcement.life.id = "w" + std::to_string(i);
+    announcement.worker_clock = Millis(now_);
+    guards_[i].keeper->OnAnnouncement(announcement, Now());
+  }
+
+  void StartEntry(int i) {
+    Entry& entry = entries_[i];
+    entry.incarnation = {5000 + ++incarnations_};
+    ++entry.epoch;
+    JobDeskOptions options;
+    options.warm_up = Millis(0);
+    entry.desk =
+        std::make_unique<JobDesk>(options, &observer_, &log_, random_(), Now());
+    entry.desk->SetCatalog(MakeCatalog(), Now());
+    for (int g = 0; g < kWorkers; ++g) CloseLink(i, g, true);
+    // Callers see the connection break.
+    for (const auto& [number, id] : entry.job_of_caller) {
+      Caller& caller = callers_[id];
+      if (caller.is_waiting && caller.number == number) Resend(&caller);
+    }
+    entry.job_of_caller.clear();
+  }
+
+  // `is_told`: both ends that live learn of it.
+  void CloseLink(int e, int g, bool is_told) {
+    Link& link = links_[e][g];
+    if (!link.is_up) return;
+    link.is_up = false;
+    if (!is_told) return;
+    if (entries_[e].desk) {
+      entries_[e].desk->OnGuardDown(link_guard_[e][g], Now());
+    }
+    if (guards_[g].keeper) {
+      guards_[g].keeper->OnSessionDown(link.session, Now());
+    }
+  }
+
+  void OpenLinks(int e) {
+    for (int g = 0; g < kWorkers; ++g) {
+      Link& link = links_[e][g];
+      if (link.is_up || now_ < link.cut_until) continue;
+      if (guards_[g].frozen_until > now_ || Below(10) != 0) continue;
+      link.is_up = true;
+      link.session = ++sessions_;
+      link.last_due = now_;
+      link_guard_[e][g] = guards_[g].incarnation;
+      guards_[g].entry_of_session[link.session] = e;
+      guards_[g].keeper->OnSessionUp(link.session, entries_[e].incarnation,
+                                     Now());
+      entries_[e].desk->OnGuardUp(Address{1, static_cast<uint16_t>(g + 1)},
+                                  guards_[g].incarnation, Now());
+    }
+  }
+
+  // Sends over a connection; held up while the link is cut.
+  void SendOver(int e, int g, std::function<void()> deliver) {
+    Link& link = links_[e][g];
+    int64_t due = std::max(now_ + 1 + Below(10), link.last_due);
+    if (now_ < link.cut_until) due = std::max(due, link.cut_until + 5);
+    link.last_due = due;
+    mail_.emplace(due, [this, e, g, session = link.session,
+                        deliver = std::move(deliver)] {
+      if (links_[e][g].is_up && links_[e][g].session == session) deliver();
+    });
+  }
+
+  void StepGuard(int i) {
+    Guard& guard = guards_[i];
+    if (now_ < guard.frozen_until) return;
+    if (now_ % 500 == 0) Announce(i);
+    guard.keeper->OnTimer(Now());
+    for (KeeperAction& action : guard.keeper->TakeActions(Now())) {
+      if (auto* sent = std::get_if<SendReport>(&action)) {
+        const auto entry = guard.entry_of_session.find(sent->session);
+        if (entry == guard.entry_of_session.end()) continue;
+        const int e = entry->second;
+        if (links_[e][i].session != sent->session) continue;
+        SendOver(e, i,
+                 [this, e, guard_inc = guard.incarnation,
+                  report = std::move(sent->report)] {
+                   WhenAwake(
+                       &entries_[e].frozen_until, [this, e, guard_inc, report] {
+                         entries_[e].desk->OnReport(guard_inc, report, Now());
+                       });
+                 });
+      } else {
+        CallWorker(i, std::move(action));
+      }
+    }
+  }
+
+  // A process that stands still reads its messages when it wakes.
+  void WhenAwake(const int64_t* frozen_until, std::function<void()> act) {
+    if (now_ >= *frozen_until) {
+      act();
+    } else {
+      mail_.emplace(*frozen_until, std::move(act));
+    }
+  }
+
+  void StepEntry(int i) {
+    Entry& entry = entries_[i];
+    if (now_ < entry.frozen_until) return;
+    OpenLinks(i);
+    entry.desk->OnTimer(Now());
+    for (DeskAction& action : entry.desk->TakeActions(Now())) {
+      if (auto* sent = std::get_if<SendOrders>(&action)) {
+        for (int g = 0; g < kWorkers; ++g) {
+          if (!links_[i][g].is_up || link_guard_[i][g] != sent->guard) continue;
+          SendOver(i, g,
+                   [this, g, session = links_[i][g].session,
+                    orders = sent->orders, epoch = guards_[g].epoch] {
+                     WhenAwake(&guards_[g].frozen_until, [=, this] {
+                       if (guards_[g].epoch != epoch) return;
+                       guards_[g].keeper->OnOrders(session, orders, Now());
+                     });
+                   });
+        }
+      } else {
+        auto& answer = std::get<SendHeldAnswer>(action);
+        OnAnswer(i, answer.caller, answer.answer);
+      }
+    }
+  }
+
+  // Calls to the worker: lost, late, or answered.
+  void CallWorker(int i, KeeperAction action) {
+    const uint64_t epoch = guards_[i].epoch;
+    const bool is_lossy = now_ < lossy_until_;
+    const uint32_t luck = is_lossy ? Below(10) : 9;
+    const bool is_carried_out = luck != 0;
+    const int64_t delay = luck == 1 ? 2000 + Below(3000) : 1;
+    const bool is_answered = luck > 1;
+    const Instant sent = Now();
+    const auto later = [this, i, epoch](int64_t after,
+                                        std::function<void()> act) {
+      Post(after, [this, i, epoch, act = std::move(act)] {
+        WhenAwake(&guards_[i].frozen_until, [this, i, epoch, act] {
+          if (guards_[i].epoch == epoch) act();
+        });
+      });
+    };
+    if (auto* start = std::get_if<MakeStart>(&action)) {
+      auto reply = std::make_shared<WorkerReply>();
+      if (is_carried_out) {
+        Post(delay, [this, i, call = start->call, reply] {
+          *reply = CarryOutStart(i, call);
+        });
+      }
+      later(is_answered ? delay + 1 : 80,
+            [this, i, made = *start, reply, is_answered] {
+              guards_[i].keeper->OnStartReply(
+                  made, is_answered ? *reply : WorkerReply(), Now());
+            });
+    } else if (auto* stop = std::get_if<MakeStop>(&action)) {
+      auto reply = std::make_shared<WorkerReply>();
+      if (is_carried_out) {
+        Post(delay, [this, i, call = stop->call, reply] {
+          *reply = CarryOutStop(i, call);
+        });
+      }
+      later(is_answered ? delay + 1 : 80,
+            [this, i, made = *stop, reply, is_answered] {
+              guards_[i].keeper->OnStopReply(
+                  made, is_answered ? *reply : WorkerReply(), Now());
+            });
+    } else if (auto* hold = std::get_if<MakeHold>(&action)) {
+      auto reply = std::make_shared<HoldReply>();
+      if (is_carried_out) {
+        Post(delay, [this, i, call = hold->call, reply] {
+          *reply = CarryOutHold(i, call);
+        });
+      }
+      const int64_t wait = std::min<int64_t>(hold->call.wait.count(), 20);
+      later(is_answered ? delay + wait : 200,
+            [this, i, made = *hold, reply, is_answered, sent] {
+              guards_[i].keeper->OnHoldReply(
+                  made, is_answered ? *reply : HoldReply(), sent, Now());
+            });
+    }
+  }
+
+  WorkerVerdict Check(int i, const WorkerLife& life, uint64_t fence) {
+    SimWorker& worker = workers_[i];
+    if (!worker.is_up) return WorkerVerdict::kUnreachable;
+    if (life.started_at != worker.life) return WorkerVerdict::kOtherLife;
+    if (fence < worker.fence) return WorkerVerdict::kFenced;
+    worker.fence = fence;
+    return WorkerVerdict::kAccepted;
+  }
+
+  WorkerReply CarryOutStart(int i, const StartCall& call) {
+    SimWorker& worker = workers_[i];
+    WorkerReply reply{Check(i, call.life, call.fence), Millis(now_)};
+    if (reply.verdict != WorkerVerdict::kAccepted) return reply;
+    const auto key = std::make_pair(call.task, call.attempt);
+    Extend(&worker, call.deadline.count());
+    if (worker.running.contains(key)) return reply;
+    if (call.deadline.count() < now_) {
+      reply.verdict = WorkerVerdict::kTooLate;
+      return reply;
+    }
+    if (call.attempt <= worker.highest[call.task]) {
+      reply.verdict = WorkerVerdict::kStaleAttempt;
+      return reply;
+    }
+    Judge(i, call.task);
+    worker.running[key] = {now_ + 40 + Below(160), 4000};
+    int64_t used = 0;
+    for (const auto& [name, run] : worker.running) used += run.cpu;
+    if (used > kCapacity) verdict = "a worker is over its capacity";
+    return reply;
+  }
+
+  // Two runs of one task at a time, or a start for a caller that was refused.
+  void Judge(int i, const std::string& task) {
+    for (int other = 0; other < kWorkers; ++other) {
+      if (!workers_[other].is_up) continue;
+      for (const auto& [key, run] : workers_[other].running) {
+        if (key.first == task) {
+          verdict = task + " runs on worker " + std::to_string(other) +
+                    " and starts on " + std::to_string(i) + " at " +
+                    std::to_string(now_);
+        }
+      }
+    }
+    const std::string id = task.substr(0, task.find('.'));
+    if (refused_.contains(id)) verdict = id + " starts after its refusal";
+    started_.insert(id);
+  }
+
+  WorkerReply CarryOutStop(int i, const StopCall& call) {
+    SimWorker& worker = workers_[i];
+    WorkerReply reply{Check(i, call.life, call.fence), Millis(now_)};
+    if (reply.verdict != WorkerVerdict::kAccepted) return reply;
+    uint32_t& highest = worker.highest[call.task];
+    highest = std::max(highest, call.attempt);
+    const auto run = worker.running.find({call.task, call.attempt});
+    if (run != worker.running.end()) {
+      EndRun(&worker, run, RunEnding::kInterrupted);
+    }
+    return reply;
+  }
+
+  HoldReply CarryOutHold(int i, const HoldCall& call) {
+    SimWorker& worker = workers_[i];
+    HoldReply reply;
+    reply.verdict = Check(i, call.life, call.fence);
+    reply.worker_clock = Millis(now_);
+    if (reply.verdict != WorkerVerdict::kAccepted) return reply;
+    if (call.deadline) Extend(&worker, call.deadline->count());
+    std::erase_if(worker.ended, [&](const HoldReply::Ended& ended) {
+      return ended.number <= call.last_seen;
+    });
+    reply.started_at = worker.life;
+    reply.ended = worker.ended;
+    for (const auto& [key, run] : worker.running) {
+      reply.running.push_back(
+          {key.first, key.second, static_cast<uint32_t>(now_ % 100)});
+    }
+    return reply;
+  }
+
+  void Extend(SimWorker* worker, int64_t deadline) const {
+    worker->lease_until =
+        std::max(worker->lease_until, std::min(deadline, now_ + 1000));
+  }
+
+  using RunMap = std::map<std::pair<std::string, uint32_t>, SimWorker::Run>;
+  RunMap::iterator EndRun(SimWorker* worker, RunMap::iterator run,
+                          RunEnding ending) {
+    uint32_t& highest = worker->highest[run->first.first];
+    highest = std::max(highest, run->first.second);
+    worker->ended.push_back(
+        {worker->next_end++, run->first.first, run->first.second, ending});
+    if (ending == RunEnding::kDone) done_.insert(run->first.first);
+    return worker->running.erase(run);
+  }
+
+  void StepWorkers() {
+    for (SimWorker& worker : workers_) {
+      for (auto run = worker.running.begin(); run != worker.running.end();) {
+        if (now_ >= worker.lease_until) {
+          run = EndRun(&worker, run, RunEnding::kInterrupted);
+        } else if (now_ >= run->second.ends_at) {
+          run = EndRun(&worker, run,
+                       Below(30) == 0 ? RunEnding::kFailed : RunEnding::kDone);
+        } else {
+          ++run;
+        }
+      }
+    }
+  }
+
+  // Callers.
+
+  void Submit() {
+    const std::string id = "j" + std::to_string(submitted_++);
+    Caller& caller = callers_[id];
+    caller.entry = static_cast<int>(Below(kEntries));
+    caller.send_at = now_;
+    caller.give_up_at = now_ + 9000;
+  }
+
+  void StepCaller(const std::string& id, Caller* caller) {
+    if (caller->is_over) return;
+    if (now_ >= caller->give_up_at) {
+      caller->is_over = true;
+      if (caller->is_waiting) Leave(caller);
+      return;
+    }
+    if (caller->is_waiting || now_ < caller->send_at) return;
+    if (now_ < entries_[caller->entry].frozen_until) return;
+    caller->is_waiting = true;
+    caller->number = ++caller_numbers_;
+    ++caller->sends;
+    Entry& entry = entries_[caller->entry];
+    entry.job_of_caller[caller->number] = id;
+    HeldJob job =
+        MakeJob(id, 1 + static_cast<uint32_t>(id.size() % 3), 4000, 100);
+    job.patience = Millis(caller->give_up_at - now_);
+    entry.desk->OnJob(caller->number, std::move(job), Now());
+  }
+
+  void Leave(Caller* caller) {
+    Entry& entry = entries_[caller->entry];
+    const uint64_t number = caller->number;
+    caller->is_waiting = false;
+    WhenAwake(&entry.frozen_until,
+              [this, e = caller->entry, number, epoch = entry.epoch] {
+                if (entries_[e].epoch != epoch) return;
+                entries_[e].desk->OnCallerLeft(number, Now());
+              });
+  }
+
+  void Resend(Caller* caller) {
+    caller->is_waiting = false;
+    caller->entry = static_cast<int>(Below(kEntries));
+    caller->send_at = now_ + kResendAfter;
+  }
+
+  void OnAnswer(int e, uint64_t number, const HeldAnswer& answer) {
+    const auto found = entries_[e].job_of_caller.find(number);
+    if (found == entries_[e].job_of_caller.end()) return;
+    const std::string id = found->second;
+    entries_[e].job_of_caller.erase(found);
+    Caller& caller = callers_[id];
+    if (!caller.is_waiting || caller.number != number) return;
+    if (DispositionOf(answer.reason) == Disposition::kUnknown) {
+      Resend(&caller);
+      return;
+    }
+    caller.is_waiting = false;
+    caller.is_over = true;
+    ++answered;
+    if (answer.state == HeldState::kRefused) {
+      refused_.insert(id);
+      // Only where no earlier send may have started it.
+      if (caller.sends == 1 && started_.contains(id)) {
+        verdict = id + " was refused though it had run";
+      }
+      if (caller.sends > 1) refused_.erase(id);
+    }
+    if (answer.state == HeldState::kComplete) {
+      ++completed;
+      const uint32_t tasks = 1 + static_cast<uint32_t>(id.size() % 3);
+      for (uint32_t task = 0; task < tasks; ++task) {
+        if (!done_.contains(id + ".0.0." + std::to_string(task))) {
+          verdict = id + " is complete though a task is not done";
+        }
+      }
+    }
+  }
+
+  // Faults.
+
+  void Inject(const Fault& fault) {
+    const int g = fault.target % kWorkers;
+    const int e = fault.target % kEntries;
+    switch (fault.kind) {
+      case 0:  // The guard is killed and starts again.
+        StartGuard(g);
+        return;
+      case 1:  // The entry is killed and starts again.
+        StartEntry(e);
+        return;
+      case 2:  // The guard stands still.
+        // What wakes it is the last to end, so that messages keep their order.
+        guards_[g].frozen_until =
+            std::max(guards_[g].frozen_until, now_ + fault.length);
+        return;
+      case 3:  // The entry stands still.
+        entries_[e].frozen_until =
+            std::max(entries_[e].frozen_until, now_ + fault.length);
+        return;
+      case 4:  // Frames between the two are held up.
+        links_[e][g].cut_until = now_ + fault.length;
+        return;
+      case 5:  // The connection is reset.
+        CloseLink(e, g, true);
+        return;
+      case 6: {  // The worker crashes and starts again.
+        SimWorker& worker = workers_[g];
+        const uint64_t life = worker.life + 1;
+        worker = SimWorker();
+        worker.life = life;
+        worker.is_up = false;
+        Post(fault.length, [this, g] {
+          workers_[g].is_up = true;
+          if (now_ >= guards_[g].frozen_until) Announce(g);
+        });
+        return;
+      }
+      default:  // Calls to workers get lost or are carried out late.
+        lossy_until_ = now_ + fault.length;
+    }
+  }
+
+  std::mt19937 random_;
+  int64_t now_ = 0;
+  Observer observer_;
+  DecisionLog log_;
+  std::multimap<int64_t, std::function<void()>> mail_;
+  SimWorker workers_[kWorkers];
+  Guard guards_[kWorkers];
+  Entry entries_[kEntries];
+  Link links_[kEntries][kWorkers];
+  Incarnation link_guard_[kEntries][kWorkers];
+  std::map<std::string, Caller> callers_;
+  std::set<std::string> started_;
+  std::set<std::string> refused_;
+  std::set<std::string> done_;
+  uint64_t incarnations_ = 0;
+  uint64_t sessions_ = 0;
+  uint64_t announcements_ = 0;
+  uint64_t caller_numbers_ = 0;
+  int submitted_ = 0;
+  int64_t lossy_until_ = -1;
+};
+
+rc::Gen<std::vector<Fault>> Faults() {
+  const auto fault = rc::gen::build<Fault>(
+      rc::gen::set(&Fault::at, rc::gen::inRange<int64_t>(200, kFaultsEnd)),
+      rc::gen::set(&Fault::kind, rc::gen::inRange(0, 8)),
+      rc::gen::set(&Fault::target, rc::gen::inRange(0, 6)),
+      rc::gen::set(&Fault::length, rc::gen::inRange<int64_t>(100, 4'000)));
+  return rc::gen::map(
+      rc::gen::container<std::vector<Fault>>(fault),
+      [](std::vector<Fault> faults) {
+        std::sort(faults.begin(), faults.end(),
+                  [](const Fault& a, const Fault& b) { return a.at < b.at; });
+        return faults;
+      });
+}
+
+RC_GTEST_PROP(HeldPropertyTest, HoldsItsPromisesUnderRandomFaults, ()) {
+  const auto faults = *Faults();
+  const auto seed = *rc::gen::arbitrary<uint32_t>();
+  World world(seed);
+  world.Run(faults, 40);
+  RC_ASSERT(world.verdict == "");
+  RC_ASSERT(world.AllAnswered());
+}
+
+TEST(HeldPropertyTest, WithoutFaultsEveryJobIsAnsweredAndMostComplete) {
+  World world(7);
+  world.Run({}, 40);
+  EXPECT_EQ(world.verdict, "");
+  EXPECT_TRUE(world.AllAnswered());
+  EXPECT_EQ(world.answered, 40);
+  EXPECT_GE(world.completed, 36);
+}
+
+}  // namespace
+}  // namespace qs::test
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,234 @@
+// The adapter's translations, without a network.
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "caller_http.h"
+#include "catalog_json.h"
+#include "worker_http.h"
+
+namespace qs::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kId = "5c0e7a21d94b36f8";
+constexpr int kUnavailable = 503;
+
+HttpRequest JobRequest(const json& body, const std::string& deadline = "2500") {
+  HttpRequest request;
+  request.method = "POST";
+  request.headers["quetzalspindle-deadline-ms"] = deadline;
+  request.body = body.dump();
+  return request;
+}
+
+json HeldBody() {
+  return {{"spec", "text"},
+          {"bestEffort", true},
+          {"phases",
+           {{{"count", 4},
+             {"cpu", 3100},
+             {"memMb", 64},
+             {"estimateMs", 60},
+             {"affinity", "r1-3"}},
+            {{"count", 1}, {"cpu", 500}, {"after", {0}}}}}};
+}
+
+HttpOutcome Answer(int status, const json& body) {
+  HttpOutcome outcome;
+  outcome.fault = HttpFault::kNone;
+  outcome.status = status;
+  outcome.body = body.dump();
+  return outcome;
+}
+
+TEST(CallerHttpTest, DecodesAHeldJob) {
+  const Checked<HeldJob> job =
+      CallerHttp().DecodeJob(kId, JobRequest(HeldBody()), Millis(1500));
+  ASSERT_TRUE(job) << job.error().ToText();
+  EXPECT_EQ(job->id, kId);
+  EXPECT_EQ(job->patience, Millis(2500));
+  EXPECT_FALSE(job->is_unsupported);
+  ASSERT_EQ(job->steps.size(), 2U);
+  EXPECT_EQ(job->steps[0].tasks, 4U);
+  EXPECT_EQ(job->steps[0].each.cpu_millis, 3100);
+  EXPECT_EQ(job->steps[0].preferred_rack, "r1-3");
+  EXPECT_EQ(job->steps[1].after, std::vector<uint32_t>{0});
+}
+
+TEST(CallerHttpTest, AJobThatMustBeStoredIsMarkedAsUnsupported) {
+  json body = HeldBody();
+  body.erase("bestEffort");
+  const auto stored = CallerHttp().DecodeJob(kId, JobRequest(body), Millis(1));
+  ASSERT_TRUE(stored);
+  EXPECT_TRUE(stored->is_unsupported);
+  body = HeldBody();
+  body["phases"][0]["gang"] = true;
+  const auto gang = CallerHttp().DecodeJob(kId, JobRequest(body), Millis(1));
+  ASSERT_TRUE(gang);
+  EXPECT_TRUE(gang->is_unsupported);
+}
+
+TEST(CallerHttpTest, ReportsEveryFaultOfAJob) {
+  const json body = {{"spec", 5},
+                     {"bestEffort", true},
+                     {"phases", {{{"count", 0}, {"after", {0}}}, 7}}};
+  const auto job = CallerHttp().DecodeJob("xyz", JobRequest(body), Millis(1));
+  ASSERT_FALSE(job);
+  EXPECT_EQ(job.error().items().size(), 5U) << job.error().ToText();
+}
+
+TEST(CallerHttpTest, AnUnreadablePatienceIsThatOfTheQueue) {
+  const auto job =
+      CallerHttp().DecodeJob(kId, JobRequest(HeldBody(), "soon"), Millis(1500));
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job->patience, Millis(1500));
+}
+
+TEST(CallerHttpTest, SaysNotRunOnlyInRefusals) {
+  const CallerHttp protocol;
+  const auto status = [&](HeldState state, Reason reason) {
+    return protocol.EncodeAnswer({state, reason, Millis(1500)}).status;
+  };
+  EXPECT_EQ(status(HeldState::kComplete, Reason::kNone), 200);
+  EXPECT_EQ(status(HeldState::kFailed, Reason::kAttemptsExhausted), 200);
+  EXPECT_EQ(status(HeldState::kFailed, Reason::kGivenUpRunning), 504);
+  EXPECT_EQ(status(HeldState::kFailed, Reason::kEntrySuspended), 504);
+  EXPECT_EQ(status(HeldState::kRefused, Reason::kWouldEndTooLate), 429);
+  EXPECT_EQ(status(HeldState::kRefused, Reason::kStopping), kUnavailable);
+  EXPECT_EQ(status(HeldState::kRefused, Reason::kNoSuchQueue), 404);
+  EXPECT_EQ(status(HeldState::kRefused, Reason::kNotSupported), kUnavailable);
+}
+
+TEST(CallerHttpTest, RetryAfterIsRoundedUpToSeconds) {
+  const HttpResponse response = CallerHttp().EncodeAnswer(
+      {HeldState::kRefused, Reason::kWouldEndTooLate, Millis(1001)});
+  ASSERT_EQ(response.headers.size(), 1U);
+  EXPECT_EQ(response.headers[0].second, "2");
+}
+
+TEST(CatalogJsonTest, ReadsQueuesServicesAndLimits) {
+  const json document = {
+      {"version", 7},
+      {"routes",
+       {{{"name", "r"},
+         {"host", "h.example"},
+         {"prefix", "/a/"},
+         {"service", "s"},
+         {"timeoutMs", 1500},
+         {"targetLatencyMs", 60},
+         {"priority", 2},
+         {"maxAttempts", 4},
+         {"slackFactor", 1.6}}}},
+      {"services", {{{"name", "s"}, {"rejectsOverload", false}}}},
+      {"limits", {{"maxBodyBytes", 1000}}}};
+  const Checked<Catalog> catalog = DecodeCatalogJson(document.dump());
+  ASSERT_TRUE(catalog) << catalog.error().ToText();
+  EXPECT_EQ(catalog->version, 7U);
+  EXPECT_EQ(catalog->max_body_bytes, 1000U);
+  EXPECT_FALSE(catalog->services.at("s").refuses_overload);
+  const QueueDeclaration* queue = catalog->Route("h.example", "/a/b");
+  ASSERT_NE(queue, nullptr);
+  EXPECT_EQ(queue->max_attempts, 4U);
+  EXPECT_DOUBLE_EQ(queue->slack_factor, 1.6);
+  EXPECT_EQ(catalog->Route("h.example", "/b/"), nullptr);
+  EXPECT_EQ(catalog->Route("other", "/a/b"), nullptr);
+}
+
+TEST(CatalogJsonTest, RefusesADocumentWithFaultsAsAWhole) {
+  const auto catalog = DecodeCatalogJson(
+      R"({"version":-1,"routes":[{"name":5}],"services":{}})");
+  ASSERT_FALSE(catalog);
+  EXPECT_GE(catalog.error().items().size(), 5U);
+}
+
+TEST(WorkerHttpTest, AnOrderCarriesItsFenceDeadlineAndLife) {
+  StartCall call;
+  call.life = {"i-1", 99};
+  call.fence = 7;
+  call.task = "t.0.0.0";
+  call.attempt = 2;
+  call.payload = "text";
+  call.deadline = Millis(486'000);
+  const HttpExchange exchange = WorkerHttp().Encode(call);
+  EXPECT_EQ(exchange.target, "/-/run-start");
+  ASSERT_EQ(exchange.headers.size(), 1U);
+  EXPECT_EQ(exchange.headers[0].second, "i-1");
+  const json body = json::parse(exchange.body);
+  EXPECT_EQ(body["fencingToken"], 7);
+  EXPECT_EQ(body["deadlineMs"], 486'000);
+  EXPECT_EQ(body["attempt"], 2);
+}
+
+TEST(WorkerHttpTest, TellsEachRefusalOfAnOrderApart) {
+  const WorkerHttp protocol;
+  const auto conflict = [&](const char* reason) {
+    return protocol
+        .DecodeReply(Answer(409, {{"reason", reason}, {"currentTimeMs", 5}}))
+        .verdict;
+  };
+  EXPECT_EQ(conflict("fence"), WorkerVerdict::kFenced);
+  EXPECT_EQ(conflict("old"), WorkerVerdict::kStaleAttempt);
+  EXPECT_EQ(conflict("late"), WorkerVerdict::kTooLate);
+  EXPECT_EQ(conflict("room"), WorkerVerdict::kNoRoom);
+  EXPECT_EQ(protocol.DecodeReply(Answer(421, json::object())).verdict,
+            WorkerVerdict::kOtherLife);
+  EXPECT_EQ(protocol.DecodeReply(Answer(503, json::object())).verdict,
+            WorkerVerdict::kUnhealthy);
+  EXPECT_EQ(protocol.DecodeReply(HttpOutcome()).verdict,
+            WorkerVerdict::kNoAnswer);
+}
+
+TEST(WorkerHttpTest, ReadsWhatRunsAndWhatEnded) {
+  const HoldReply reply = WorkerHttp().DecodeHold(
+      Answer(200, {{"currentTimeMs", 482'113},
+                   {"born", 17},
+                   {"running", {{"a.0.0.1", 2, "", 41, 310}}},
+                   {"finished",
+                    {{58, "a.0.0.0", 1, "done", ""},
+                     {59, "b.0.0.0", 3, "lapsed", "ck"}}}}));
+  EXPECT_EQ(reply.verdict, WorkerVerdict::kAccepted);
+  EXPECT_EQ(reply.started_at, 17U);
+  ASSERT_EQ(reply.running.size(), 1U);
+  EXPECT_EQ(reply.running[0].percent, 41U);
+  ASSERT_EQ(reply.ended.size(), 2U);
+  EXPECT_EQ(reply.ended[0].ending, RunEnding::kDone);
+  EXPECT_EQ(reply.ended[1].ending, RunEnding::kInterrupted);
+}
+
+TEST(WorkerHttpTest, AnUnreadableHoldSaysNothingOfTheRuns) {
+  const HoldReply reply = WorkerHttp().DecodeHold(
+      Answer(200, {{"running", {{"a", "x"}}}, {"finished", json::array()}}));
+  EXPECT_EQ(reply.verdict, WorkerVerdict::kNoAnswer);
+}
+
+TEST(WorkerHttpTest, AnAnnouncementWithFaultsNamesNoWorker) {
+  const WorkerHttp protocol;
+  const json good = {
+      {"service", "s"},
+      {"address", "10.0.0.1:80"},
+      {"state", "draining"},
+      {"capacity", {{"cpu", 32'000}, {"memMb", 100}, {"gpu", 0}}},
+      {"labels", {"a", "r1-3"}},
+      {"currentTimeMs", 10},
+      {"born", 17},
+      {"seq", 4}};
+  const auto read = protocol.DecodeAnnouncement("i-1", good.dump());
+  ASSERT_TRUE(read) << read.error().ToText();
+  EXPECT_TRUE(read->is_draining);
+  EXPECT_EQ(read->rack, "r1-3");
+  EXPECT_EQ(read->life, (WorkerLife{"i-1", 17}));
+  for (const char* field : {"service", "address", "state", "capacity", "seq"}) {
+    json bad = good;
+    bad[field] = json::array({1});
+    EXPECT_FALSE(protocol.DecodeAnnouncement("i-1", bad.dump())) << field;
+    bad.erase(field);
+    EXPECT_FALSE(protocol.DecodeAnnouncement("i-1", bad.dump())) << field;
+  }
+  EXPECT_FALSE(protocol.DecodeAnnouncement("i-1", "\xff{"));
+}
+
+}  // namespace
+}  // namespace qs::platform
--- a/tests/run_keeper_test.cc
+++ b/tests/run_keeper_test.cc
@@ -210,6 +210,27 @@
   EXPECT_EQ(stops_[0].call.task, "foreign");
 }
 
+// The first answer after a restart tells of ends and of runs of the former
+// guard alike. Entries must not take that for a worker without them.
+TEST(RunKeeperStartTest, IsNotSettledWhileARunOfItsFormerSelfGoesOn) {
+  DecisionLog log;
+  RunKeeper keeper(RunKeeperOptions(), 500, &log, At(0));
+  keeper.OnAnnouncement(MakeAnnouncement(), At(100));
+  keeper.OnSessionUp(kSession, kHome, At(100));
+  const auto holds = Only<MakeHold>(keeper.TakeActions(At(100)));
+  ASSERT_EQ(holds.size(), 1U);
+  HoldReply reply;
+  reply.verdict = WorkerVerdict::kAccepted;
+  reply.started_at = 1000;
+  reply.running = {{"running", 1, 10}};
+  reply.ended = {{1, "ended", 1, RunEnding::kDone}};
+  keeper.OnHoldReply(holds[0], reply, At(100), At(102));
+  const auto reports = Only<SendReport>(keeper.TakeActions(At(300)));
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_FALSE(reports[0].report.is_settled);
+  EXPECT_EQ(reports[0].report.state, ServingState::kAbsent);
+}
+
 TEST_F(RunKeeperTest, ARunWithoutProgressIsStoppedAndReported) {
   Order(10, {MakeOrder(1, "t1")});
   Accept(starts_[0], 11);
