--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -46,7 +46,8 @@
             {{"role", settings.role},
              {"listen", settings.listen.ToString()},
              {"http", settings.http.ToString()},
-             {"zone", settings.zone}});
+             {"zone", settings.zone},
+             {"incarnation", std::to_string(kernel_.incarnation.value)}});
     signals_.async_wait([this](std::error_code e, int) {
       if (!e) BeginStop();
     });
