--- /dev/null
+++ b/tests/lib/fake_worker.cc
@@ -0,0 +1,207 @@
+#include "lib/fake_worker.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+
+#include "http/http_caller.h"
+
+namespace qs::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr int64_t kTaskCpu = 4000;  // Of every task of the tests.
+constexpr int64_t kLongestLeaseMs = 1000;
+constexpr Millis kHeartbeat{200};
+
+}  // namespace
+
+void RunLedger::Started(const std::string& task) {
+  const std::lock_guard lock(mutex_);
+  ++starts_;
+  ++running_;
+  if (++open_[task] > 1) ++doubled_;
+}
+
+void RunLedger::Ended(const std::string& task) {
+  const std::lock_guard lock(mutex_);
+  --running_;
+  --open_[task];
+}
+
+FakeWorker::FakeWorker(std::string id, Address address, Address guard,
+                       int64_t cpu, RunLedger* ledger)
+    : id_(std::move(id)),
+      address_(address),
+      guard_(guard),
+      cpu_(cpu),
+      ledger_(ledger),
+      born_ms_(std::chrono::duration_cast<Millis>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count()) {
+  std::vector<HttpServer::Route> routes;
+  const auto add = [&](const char* path,
+                       HttpResponse (FakeWorker::*handler)(const json&)) {
+    routes.push_back({"POST", path, [this, handler](const HttpRequest& r) {
+                        return (this->*handler)(json::parse(r.body));
+                      }});
+  };
+  add("/-/run-start", &FakeWorker::OnStart);
+  add("/-/run-stop", &FakeWorker::OnStop);
+  add("/-/hold", &FakeWorker::OnHold);
+  HttpServerOptions options;
+  options.address = address;
+  options.threads = 16;
+  options.no_such_route = [this] { return Answer(404, json::object()); };
+  options.too_large = [this](size_t) { return Answer(413, json::object()); };
+  auto http = HttpServer::Make(std::move(options), std::move(routes));
+  if (!http) std::abort();
+  http_ = std::move(*http);
+  announcer_ = std::thread([this] { Announce(); });
+}
+
+FakeWorker::~FakeWorker() {
+  is_stopping_ = true;
+  changed_.notify_all();
+  announcer_.join();
+  http_->Stop();
+}
+
+int64_t FakeWorker::ClockNow() const {
+  return std::chrono::duration_cast<Millis>(Clock::now() - born_).count();
+}
+
+HttpResponse FakeWorker::Answer(int status, json body) const {
+  body["currentTimeMs"] = ClockNow();
+  body["born"] = born_ms_;
+  HttpResponse response;
+  response.status = status;
+  response.body = body.dump();
+  return response;
+}
+
+bool FakeWorker::IsFenced(const json& body) {
+  const auto fence = body.at("fencingToken").get<uint64_t>();
+  if (fence < fence_) return true;
+  fence_ = fence;
+  return false;
+}
+
+void FakeWorker::Extend(const json& body) {
+  if (!body.contains("deadlineMs")) return;
+  const int64_t most = ClockNow() + kLongestLeaseMs;
+  lease_ =
+      std::max(lease_, std::min(body.at("deadlineMs").get<int64_t>(), most));
+}
+
+void FakeWorker::End(const Key& key, const char* how) {
+  ended_.push_back({next_end_++, key.first, key.second, how, ""});
+  uint32_t& highest = highest_[key.first];
+  highest = std::max(highest, key.second);
+  running_.erase(key);
+  ledger_->Ended(key.first);
+}
+
+void FakeWorker::Settle() {
+  const Instant now = Clock::now();
+  const bool has_lapsed = ClockNow() > lease_;
+  std::vector<std::pair<Key, const char*>> over;
+  for (const auto& [key, run] : running_) {
+    if (has_lapsed) {
+      over.emplace_back(key, "lapsed");
+    } else if (now >= run.ends) {
+      over.emplace_back(key, is_failing_ ? "failed" : "done");
+    }
+  }
+  for (const auto& [key, how] : over) End(key, how);
+}
+
+HttpResponse FakeWorker::OnStart(const json& body) {
+  const std::lock_guard lock(mutex_);
+  Settle();
+  if (IsFenced(body)) return Answer(409, {{"reason", "fence"}});
+  Extend(body);
+  const Key key{body.at("task").get<std::string>(),
+                body.at("attempt").get<uint32_t>()};
+  if (running_.contains(key)) return Answer(200, json::object());
+  if (body.at("deadlineMs").get<int64_t>() < ClockNow()) {
+    return Answer(409, {{"reason", "late"}});
+  }
+  if (key.second <= highest_[key.first]) {
+    return Answer(409, {{"reason", "old"}});
+  }
+  if (static_cast<int64_t>(running_.size() + 1) * kTaskCpu > cpu_) {
+    return Answer(409, {{"reason", "room"}});
+  }
+  const Millis length(std::stoll(body.at("spec").get<std::string>()));
+  running_[key] = {Clock::now() + length};
+  ++starts_;
+  ledger_->Started(key.first);
+  changed_.notify_all();
+  return Answer(200, json::object());
+}
+
+HttpResponse FakeWorker::OnStop(const json& body) {
+  const std::lock_guard lock(mutex_);
+  Settle();
+  if (IsFenced(body)) return Answer(409, {{"reason", "fence"}});
+  const Key key{body.at("task").get<std::string>(),
+                body.at("attempt").get<uint32_t>()};
+  uint32_t& highest = highest_[key.first];
+  highest = std::max(highest, key.second);
+  if (running_.contains(key)) End(key, "stopped");
+  changed_.notify_all();
+  return Answer(200, json::object());
+}
+
+HttpResponse FakeWorker::OnHold(const json& body) {
+  std::unique_lock lock(mutex_);
+  Settle();
+  if (IsFenced(body)) return Answer(409, {{"reason", "fence"}});
+  Extend(body);
+  const auto seen = body.at("lastSeen").get<uint64_t>();
+  std::erase_if(ended_, [&](const json& row) {
+    return row.at(0).get<uint64_t>() <= seen;
+  });
+  const Instant until = Clock::now() + Millis(body.value("waitMs", int64_t{0}));
+  while (ended_.empty() && Clock::now() < until && !is_stopping_) {
+    Instant next = until;
+    for (const auto& [key, run] : running_) next = std::min(next, run.ends);
+    changed_.wait_until(lock, next);
+    Settle();
+  }
+  json running = json::array();
+  const Instant now = Clock::now();
+  for (const auto& [key, run] : running_) {
+    // Moves with every look, as the run does.
+    const auto left =
+        std::chrono::duration_cast<Millis>(run.ends - now).count();
+    running.push_back({key.first, key.second, "", 100 - left % 100, 0});
+  }
+  return Answer(200, {{"running", running}, {"finished", ended_}});
+}
+
+void FakeWorker::Announce() {
+  HttpCaller caller(guard_);
+  uint64_t sequence = 0;
+  while (!is_stopping_) {
+    HttpExchange exchange;
+    exchange.target = "/-/Instances.Heartbeat/" + id_;
+    exchange.body = json{
+        {"service", "svc"},
+        {"address", address_.ToString()},
+        {"zone", "z"},
+        {"state", is_draining_ ? "draining" : "ready"},
+        {"capacity", {{"cpu", cpu_}, {"memMb", 65'536}, {"gpu", 0}}},
+        {"labels", {"a", "r1-1"}},
+        {"currentTimeMs", ClockNow()},
+        {"born", born_ms_},
+        {"seq",
+         ++sequence}}.dump();
+    (void)caller.Exchange(exchange);
+    std::this_thread::sleep_for(kHeartbeat);
+  }
+}
+
+}  // namespace qs::test
