Register members under leases, and bring lapsed ones back within two seconds

Cause: members' keys stood in the store for ever, so machines that were gone were probed, and a key that the store took away never came back. Change: a process registers under a lease of 10 s, renews it every 2 s, and registers again where it has ended; a store without leases is used as before. Tests: KvStoreTest.ALeaseIsKept..., HeldPathTest.LapsedMembers... on processes.

--- a/include/quetzalspindle/platform_store.h
+++ b/include/quetzalspindle/platform_store.h
@@ -33,10 +33,18 @@
     return OnReadPrefix(prefix);
   }
 
-  std::error_code Put(const std::string& key, const std::string& value) {
-    return OnPut(key, value);
+  // Under a lease, the key goes when the lease ends; 0 for none.
+  std::error_code Put(const std::string& key, const std::string& value,
+                      int64_t lease = 0) {
+    return OnPut(key, value, lease);
   }
 
+  // A lease that ends `ttl` after its last renewal. Fails with
+  // operation_not_supported where the service is used without leases.
+  Result<int64_t> GrantLease(Millis ttl) { return OnGrantLease(ttl); }
+  // Returns false where the lease has ended.
+  Result<bool> KeepLease(int64_t lease) { return OnKeepLease(lease); }
+
   // Writes if the key's modification revision is still `expected`, zero for a
   // key that must not exist. Returns whether the write took effect.
   Result<bool> CompareAndSwap(const std::string& key, int64_t expected,
@@ -55,7 +63,15 @@
  private:
   virtual Result<StoreRange> OnReadPrefix(const std::string& prefix) = 0;
   virtual std::error_code OnPut(const std::string& key,
-                                const std::string& value) = 0;
+                                const std::string& value, int64_t lease) = 0;
+  virtual Result<int64_t> OnGrantLease(Millis /*ttl*/) {
+    return tl::unexpected(
+        std::make_error_code(std::errc::operation_not_supported));
+  }
+  virtual Result<bool> OnKeepLease(int64_t /*lease*/) {
+    return tl::unexpected(
+        std::make_error_code(std::errc::operation_not_supported));
+  }
   virtual Result<bool> OnCompareAndSwap(const std::string& key,
                                         int64_t expected,
                                         const std::string& value) = 0;
--- a/src/daemon/platform_agent.cc
+++ b/src/daemon/platform_agent.cc
@@ -50,17 +50,47 @@
     if (!Wait(pause)) return;
     pause = std::min(pause * 2, options_.longest_retry);
   }
-  Log(LogLevel::kInfo, "registered", {});
-  if (options_.role != Role::kEntry) return;
-  while (Wait(options_.refresh)) ReadMembers();
+  Log(LogLevel::kInfo, "registered", {{"lease", std::to_string(lease_)}});
+  Instant next_read = Clock::now() + options_.refresh;
+  while (Wait(lease_ != 0 ? options_.renewal : options_.refresh)) {
+    if (lease_ != 0) Renew();
+    if (options_.role != Role::kEntry || Clock::now() < next_read) continue;
+    next_read = Clock::now() + options_.refresh;
+    ReadMembers();
+  }
+}
+
+void PlatformAgent::Renew() {
+  const Result<bool> stands = store_->KeepLease(lease_);
+  if (stands.has_value() != was_reachable_) {
+    was_reachable_ = stands.has_value();
+    Log(was_reachable_ ? LogLevel::kInfo : LogLevel::kWarn,
+        was_reachable_ ? "registry_regained" : "registry_lost",
+        {{"lease", std::to_string(lease_)},
+         {"error", stands ? "" : stands.error().message()}});
+  }
+  if (!stands || *stands) return;
+  const int64_t ended = lease_;
+  const bool is_back = Register();
+  Log(LogLevel::kWarn, "registration_lapsed",
+      {{"lease", std::to_string(ended)},
+       {"registered_again", is_back ? "yes" : "no"}});
 }
 
 bool PlatformAgent::Register() {
+  const Result<int64_t> lease = store_->GrantLease(options_.lease);
+  if (!lease && lease.error() != std::errc::operation_not_supported) {
+    return false;
+  }
   const nlohmann::json value = {
       {"role", options_.role == Role::kEntry ? "entry" : "guard"},
       {"zone", options_.zone}};
-  return !store_->Put(kMemberPrefix + options_.address.ToString(),
-                      value.dump());
+  const std::error_code error =
+      store_->Put(kMemberPrefix + options_.address.ToString(), value.dump(),
+                  lease.value_or(0));
+  if (error) return false;
+  lease_ = lease.value_or(0);
+  return true;
 }
 
 bool PlatformAgent::ReadMembers() {
--- a/src/daemon/platform_agent.h
+++ b/src/daemon/platform_agent.h
@@ -21,11 +21,15 @@
   Millis first_retry{200};
   Millis longest_retry{10'000};
   Millis refresh{300'000};  // An entry reads the members again so often.
+  // An entry of a process that is gone goes after `lease`. After an outage of
+  // the service, one that lapsed is back within `renewal` and a call.
+  Millis lease{10'000};
+  Millis renewal{2'000};
 };
 
-// Registers this process with the platform's key-value service, once, and reads
-// who else is registered. Works on a thread of its own, so that an outage of
-// the service delays nothing else.
+// Registers this process with the platform's key-value service, under a lease
+// where the service has them, and reads who else is registered. Works on a
+// thread of its own, so that an outage of the service delays nothing else.
 class PlatformAgent {
  public:
   // `on_members` is called on the agent's thread.
@@ -43,6 +47,8 @@
 
   void Run();
   bool Register();
+  // Renews the lease, and registers again where it has ended.
+  void Renew();
   bool ReadMembers();
   // Returns false when the agent shall end.
   bool Wait(Millis duration);
@@ -50,6 +56,8 @@
   PlatformAgentOptions options_;
   std::unique_ptr<PlatformStore> store_;
   std::function<void(std::vector<Address>)> on_members_;
+  int64_t lease_ = 0;  // Zero where the service is used without leases.
+  bool was_reachable_ = true;
   std::mutex mutex_;
   std::condition_variable stopped_changed_;
   bool stopped_ = false;
--- a/src/store/etcd_store.cc
+++ b/src/store/etcd_store.cc
@@ -173,8 +173,9 @@
   }
 }
 
+// GrantLease is not supported here, so that there is never a lease.
 std::error_code EtcdStore::OnPut(const std::string& key,
-                                 const std::string& value) {
+                                 const std::string& value, int64_t /*lease*/) {
   const json request = {{"key", EncodeBase64(key)},
                         {"value", EncodeBase64(value)}};
   const Result<std::string> body = Post("/v3/kv/put", request.dump());
--- a/src/store/etcd_store.h
+++ b/src/store/etcd_store.h
@@ -17,8 +17,8 @@
   EtcdStore(std::string endpoint, Millis timeout);
 
   Result<StoreRange> OnReadPrefix(const std::string& prefix) override;
-  std::error_code OnPut(const std::string& key,
-                        const std::string& value) override;
+  std::error_code OnPut(const std::string& key, const std::string& value,
+                        int64_t lease) override;
   Result<bool> OnCompareAndSwap(const std::string& key, int64_t expected,
                                 const std::string& value) override;
   std::error_code OnWatch(const std::string& prefix, int64_t from_revision,
--- a/tests/config_store_test.cc
+++ b/tests/config_store_test.cc
@@ -37,7 +37,8 @@
     return range;
   }
   std::error_code OnPut(const std::string& /*key*/,
-                        const std::string& /*value*/) override {
+                        const std::string& /*value*/,
+                        int64_t /*lease*/) override {
     return Timeout();
   }
   Result<bool> OnCompareAndSwap(const std::string& key, int64_t expected,
--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -226,6 +226,27 @@
   EXPECT_EQ(HandIn(0, NextId(), 1, 10, "/r/"), 404);
 }
 
+// Leases run out while the store is away. Members that live are back within two
+// seconds of its return and a call; one that ended in between stays away.
+TEST_F(HeldPathTest, LapsedMembersAreBackSoonAfterTheStore) {
+  const auto key = [&](int host) {
+    return "/quetzalspindle/members/" + At(host, 7000).ToString();
+  };
+  EXPECT_TRUE(WaitUntil([&] { return !kv_->Read(key(100)).empty(); }));
+  kv_->SetDown(true);
+  kv_->EndLeases();
+  guards_[1]->Kill();
+  std::this_thread::sleep_for(Millis(500));
+  kv_->SetDown(false);
+  const Instant returned = Clock::now();
+  EXPECT_TRUE(WaitUntil([&] {
+    return !kv_->Read(key(10)).empty() && !kv_->Read(key(11)).empty() &&
+           !kv_->Read(key(100)).empty();
+  }));
+  EXPECT_LT(Clock::now() - returned, Millis(3000));
+  EXPECT_EQ(kv_->Read(key(101)), "");
+}
+
 TEST_F(HeldPathTest, ADrainingWorkerGetsNothingNew) {
   workers_[0]->SetDraining(true);
   EXPECT_TRUE(WaitUntil([&] {
--- a/tests/kv_store_test.cc
+++ b/tests/kv_store_test.cc
@@ -45,6 +45,18 @@
   EXPECT_EQ(kv_.Read("k"), "one");
 }
 
+TEST_F(KvStoreTest, ALeaseIsKeptUntilItHasEnded) {
+  const Result<int64_t> lease = store_->GrantLease(Millis(5000));
+  ASSERT_TRUE(lease);
+  EXPECT_FALSE(store_->Put("m/1", "v", *lease));
+  EXPECT_EQ(store_->KeepLease(*lease), true);
+  kv_.EndLeases();
+  EXPECT_EQ(kv_.Read("m/1"), "");
+  EXPECT_EQ(store_->KeepLease(*lease), false);
+  kv_.SetDown(true);
+  EXPECT_FALSE(store_->KeepLease(*lease));
+}
+
 TEST_F(KvStoreTest, AStoreThatIsDownGivesErrors) {
   kv_.SetDown(true);
   EXPECT_FALSE(store_->ReadPrefix("a"));
--- a/tests/lib/fake_kv.cc
+++ b/tests/lib/fake_kv.cc
@@ -38,6 +38,8 @@
   add("GET", "/-/kv-range", &FakeKv::OnRange);
   add("GET", "/-/kv-watch", &FakeKv::OnWatch);
   add("POST", "/-/kv-txn", &FakeKv::OnTxn);
+  add("POST", "/-/kv-lease", &FakeKv::OnLease);
+  add("POST", "/-/kv-keep/", &FakeKv::OnKeep);
   HttpServerOptions options;
   options.address = address;
   options.threads = 32;
@@ -64,7 +66,7 @@
 
 void FakeKv::Write(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
-  items_[key] = {EncodeBase64(value), ++revision_};
+  items_[key] = {EncodeBase64(value), ++revision_, 0};
   changed_.notify_all();
 }
 
@@ -81,6 +83,27 @@
   changed_.notify_all();
 }
 
+void FakeKv::EndLeases() {
+  const std::lock_guard lock(mutex_);
+  leases_.clear();
+  std::erase_if(items_,
+                [](const auto& item) { return item.second.lease != 0; });
+  ++revision_;
+}
+
+HttpResponse FakeKv::OnLease(const HttpRequest& request) {
+  const std::lock_guard lock(mutex_);
+  leases_.insert(next_lease_);
+  return Reply(200, {{"lease", next_lease_++},
+                     {"ttlMs", json::parse(request.body).at("ttlMs")}});
+}
+
+HttpResponse FakeKv::OnKeep(const HttpRequest& request) {
+  const std::lock_guard lock(mutex_);
+  const bool stands = leases_.contains(std::stoll(request.suffix));
+  return Reply(stands ? 200 : 404, json::object());
+}
+
 HttpResponse FakeKv::OnRange(const HttpRequest& request) {
   const std::string prefix = Parameter(request, "prefix");
   const std::string after = Parameter(request, "after");
@@ -134,7 +157,8 @@
   ++revision_;
   for (const json& write : body.at("writes")) {
     items_[write.at("key").get<std::string>()] = {
-        write.at("value").get<std::string>(), revision_};
+        write.at("value").get<std::string>(), revision_,
+        write.value("lease", int64_t{0})};
   }
   changed_.notify_all();
   if (loses_reply_.exchange(false)) return Reply(503, json::object());
--- a/tests/lib/fake_kv.h
+++ b/tests/lib/fake_kv.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,12 +30,15 @@
   void LoseNextReply() { loses_reply_ = true; }
   // Forgets the history, so that watches from before end.
   void Compact();
+  // Ends every lease, as an outage may.
+  void EndLeases();
   int calls() const { return calls_; }
 
  private:
   struct Item {
     std::string value;  // Base64.
     int64_t revision = 0;
+    int64_t lease = 0;
   };
 
   HttpResponse Guarded(HttpResponse (FakeKv::*handler)(const HttpRequest&),
@@ -42,12 +46,16 @@
   HttpResponse OnRange(const HttpRequest& request);
   HttpResponse OnWatch(const HttpRequest& request);
   HttpResponse OnTxn(const HttpRequest& request);
+  HttpResponse OnLease(const HttpRequest& request);
+  HttpResponse OnKeep(const HttpRequest& request);
 
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Item> items_;
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
+  int64_t next_lease_ = 1;
+  std::set<int64_t> leases_;
   std::atomic<bool> is_down_{false};
   std::atomic<bool> is_stopping_{false};
   std::atomic<bool> loses_reply_{false};
