--- a/tests/job_desk_test.cc
+++ b/tests/job_desk_test.cc
@@ -17,7 +17,8 @@
  protected:
   void SetUp() override { desk_.SetCatalog(MakeCatalog(), At(0)); }
 
-  void Up(Incarnation guard, int64_t ms, RunReport report = MakeReport(1)) {
+  void Up(Incarnation guard, int64_t ms,
+          const RunReport& report = MakeReport(1)) {
     const auto port = static_cast<uint16_t>(guard.value);
     desk_.OnGuardUp(Address{1, port}, guard, At(ms));
     desk_.OnReport(guard, report, At(ms));
