Mend a use of freed memory at the end of every run

Cause: RunKeeper::OnEnded passed End a key that lies in by_task_; End erased that entry and read the key after it. Every ended run of a guard went that way. Ruled out: the other callers of End (their key lies in the run or in a copy) and JobDesk, which a sanitizer found clean. Change: End takes the key by value, which also makes StopRun's own copy needless. Found by reading the change again.

--- a/src/held/run_keeper.cc
+++ b/src/held/run_keeper.cc
@@ -423,9 +423,7 @@
 
 void RunKeeper::StopRun(Run* run, Reason reason, Instant now) {
   if (run->phase == Phase::kQueued) {
-    // The key lives in the run that End removes.
-    const RunKey key = run->key;
-    End(key, RunOutcome::kNotStarted, reason, Millis(0));
+    End(run->key, RunOutcome::kNotStarted, reason, Millis(0));
     return;
   }
   if (run->phase == Phase::kStopping) return;
@@ -477,7 +475,8 @@
 
 // Ends.
 
-void RunKeeper::End(const RunKey& key, RunOutcome outcome, Reason reason,
+// The key is a copy, as callers have it from what is removed here.
+void RunKeeper::End(RunKey key, RunOutcome outcome, Reason reason,
                     Millis run_time) {
   const auto found = runs_.find(key);
   assert(found != runs_.end());
--- a/src/held/run_keeper.h
+++ b/src/held/run_keeper.h
@@ -166,8 +166,7 @@
   void CallStop(Run* run, Instant now);
   void StopRunsOf(Incarnation home, Reason reason, Instant now);
   void GiveBackQueued(Reason reason);
-  void End(const RunKey& key, RunOutcome outcome, Reason reason,
-           Millis run_time);
+  void End(RunKey key, RunOutcome outcome, Reason reason, Millis run_time);
   void EndAll(Reason reason);
   void OnEnded(const HoldReply::Ended& ended, Instant now);
   void JudgeRunning(const HoldReply& reply, Instant sent, Instant now);
