--- a/src/daemon/job_entry_role.cc
+++ b/src/daemon/job_entry_role.cc
@@ -180,7 +180,7 @@
 
 void JobEntryRole::OnPeerGone(Address /*address*/, Incarnation incarnation) {
   guards_.erase(incarnation);
-  desk_->OnGuardGone(incarnation, Clock::now());
+  desk_->OnGuardDown(incarnation, Clock::now());
   Pump();
 }
 
--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -67,7 +67,7 @@
 
 void JobGuardRole::OnBeginStop() {
   is_ready_ = false;
-  keeper_->Stop(Clock::now());
+  keeper_->Stop();
   Pump();
 }
 
@@ -212,7 +212,7 @@
 
 HttpResponse JobGuardRole::OnWithdraw(const HttpRequest& request) {
   asio::post(kernel_->io, [this, id = request.suffix] {
-    keeper_->OnWithdrawn(id, Clock::now());
+    keeper_->OnWithdrawn(id);
     Pump();
   });
   HttpResponse response;
--- a/src/held/admission.h
+++ b/src/held/admission.h
@@ -15,7 +15,6 @@
   uint64_t job_work = 0;     // Core-milliseconds of the job itself.
   Millis chain{0};           // Estimate of its longest chain of steps.
   Millis objective{0};       // From arrival; later it is late.
-  Millis useful{0};          // From arrival; later it is of no use.
   bool has_room = false;     // A worker could start a task now.
 };
 
--- a/src/held/job_desk.cc
+++ b/src/held/job_desk.cc
@@ -12,8 +12,6 @@
 constexpr int64_t kMillisPerCore = 1000;
 // Waiting tasks that are tried in a row without finding a worker.
 constexpr int kMaxMisses = 6;
-// Estimates are rough; a job may take this share of its own.
-constexpr double kEstimateFloor = 0.6;
 constexpr Millis kRestartRetry{1000};  // About the time until a peer is ready.
 
 Millis Elapsed(Instant from, Instant to) {
@@ -103,16 +101,15 @@
   if (queue == nullptr) {
     const Reason reason =
         catalog_ == nullptr ? Reason::kNoConfiguration : Reason::kNoSuchQueue;
-    AnswerCaller(caller, job.id, {HeldState::kRefused, reason, Millis(0)}, now);
+    AnswerCaller(caller, job.id, {HeldState::kRefused, reason, Millis(0)});
     return;
   }
   Millis retry_after{0};
   const Reason refusal = Refusal(*queue, job, now, &retry_after);
   if (refusal == Reason::kConstraintUnmet) {
-    AnswerCaller(caller, job.id, {HeldState::kFailed, refusal, Millis(0)}, now);
+    AnswerCaller(caller, job.id, {HeldState::kFailed, refusal, Millis(0)});
   } else if (refusal != Reason::kNone) {
-    AnswerCaller(caller, job.id, {HeldState::kRefused, refusal, retry_after},
-                 now);
+    AnswerCaller(caller, job.id, {HeldState::kRefused, refusal, retry_after});
   } else {
     Admit(caller, *queue, std::move(job), now);
     Dispatch(now);
@@ -138,7 +135,6 @@
   input.serving_cpu = workers_.ServingCpu(queue.service, now);
   input.chain = chain;
   input.objective = objective;
-  input.useful = std::min(objective * options_.useful_objectives, job.patience);
   const Instant turn =
       now + objective - chain + options_.priority_step * queue.priority;
   input.work_ahead = WorkAhead(queue.service, turn, now);
@@ -221,7 +217,7 @@
 }
 
 void JobDesk::AnswerCaller(uint64_t caller, const std::string& id,
-                           HeldAnswer answer, Instant /*now*/) {
+                           HeldAnswer answer) {
   if (answer.state == HeldState::kRefused) observer_->Refused(answer.reason);
   if (answer.state != HeldState::kComplete) {
     log_->Note("job_answered", {{"job", id},
@@ -272,17 +268,10 @@
   Task& task = job->tasks[index];
   task.phase = TaskPhase::kWaiting;
   waiting_.insert({TurnOf(*job, task), job->number, index});
-  const uint64_t work = WorkOf(job->job.steps[task.step]);
-  job->waiting_work += work;
-  waiting_work_ += work;
 }
 
 void JobDesk::Dequeue(Job* job, uint32_t index) {
-  const Task& task = job->tasks[index];
-  waiting_.erase({TurnOf(*job, task), job->number, index});
-  const uint64_t work = WorkOf(job->job.steps[task.step]);
-  job->waiting_work -= work;
-  waiting_work_ -= work;
+  waiting_.erase({TurnOf(*job, job->tasks[index]), job->number, index});
 }
 
 uint64_t JobDesk::WorkBefore(Instant turn) const {
@@ -436,11 +425,10 @@
       if (end.reason == Reason::kRunStalled) task.avoid.insert(run.guard);
       break;
   }
-  RetryTask(&job, run.task, end.reason, now);
+  RetryTask(&job, run.task, end.reason);
 }
 
-void JobDesk::RetryTask(Job* job, uint32_t index, Reason reason,
-                        Instant /*now*/) {
+void JobDesk::RetryTask(Job* job, uint32_t index, Reason reason) {
   observer_->Retried(reason);
   const Task& task = job->tasks[index];
   if (reason != Reason::kExecutorQueueFull) {
@@ -498,7 +486,7 @@
   observer_->JobEnded(ToJobState(answer.state), age);
   for (const uint64_t caller : job->callers) {
     job_by_caller_.erase(caller);
-    AnswerCaller(caller, job->job.id, answer, now);
+    AnswerCaller(caller, job->job.id, answer);
   }
   if (answer.state == HeldState::kComplete) {
     log_->Note("job_complete",
@@ -595,10 +583,6 @@
               {"released_in_ms", Text(Until(now, release_at))}});
 }
 
-void JobDesk::OnGuardGone(Incarnation guard, Instant now) {
-  OnGuardDown(guard, now);
-}
-
 void JobDesk::OnReport(Incarnation guard, const RunReport& report,
                        Instant now) {
   // Deadlines that passed while this process stood still go first.
@@ -651,12 +635,6 @@
   }
 }
 
-bool JobDesk::CanBeOnTime(const Job& job, Instant now) const {
-  const auto shortest = std::chrono::duration_cast<Millis>(
-      ChainEstimate(job.job) * kEstimateFloor);
-  return now + shortest <= job.on_time_by && now < job.patient_until;
-}
-
 void JobDesk::CheckRuns(Instant now) {
   std::vector<uint64_t> ended;
   for (auto& [guard, entry] : workers_.entries()) {
--- a/src/held/job_desk.h
+++ b/src/held/job_desk.h
@@ -65,9 +65,8 @@
   void OnCallerLeft(uint64_t caller, Instant now);
 
   void OnGuardUp(Address address, Incarnation guard, Instant now);
+  // The connection broke, or the incarnation has ended.
   void OnGuardDown(Incarnation guard, Instant now);
-  // Another incarnation runs at the address, or none.
-  void OnGuardGone(Incarnation guard, Instant now);
   void OnReport(Incarnation guard, const RunReport& report, Instant now);
 
   // The process stood still: callers may have handed their jobs in elsewhere.
@@ -83,7 +82,6 @@
   size_t held_jobs() const { return jobs_.size(); }
   // Jobs of a queue of which no task has started.
   size_t PendingIn(const std::string& queue) const;
-  const WorkerTable& workers() const { return workers_; }
 
  private:
   enum class TaskPhase : uint8_t { kBlocked, kWaiting, kOrdered, kDone };
@@ -112,11 +110,9 @@
     std::vector<Task> tasks;
     std::vector<uint32_t> open_in_step;  // Tasks not done.
     size_t open = 0;
-    uint32_t ordered = 0;       // Tasks with an open run.
-    bool may_have_run = false;  // Some run was ordered and not refused.
-    bool is_offered = false;
+    uint32_t ordered = 0;         // Tasks with an open run.
+    bool may_have_run = false;    // Some run was ordered and not refused.
     bool awaits_earlier = false;  // Runs of an earlier job of this id go on.
-    uint64_t waiting_work = 0;    // Core-milliseconds.
   };
 
   // A task that waits. The order is that of `turn`: the time by which the task
@@ -145,8 +141,7 @@
                  Millis* retry_after) const;
   bool IsImpossible(const std::string& service, const HeldJob& job,
                     Instant now) const;
-  void AnswerCaller(uint64_t caller, const std::string& id, HeldAnswer answer,
-                    Instant now);
+  void AnswerCaller(uint64_t caller, const std::string& id, HeldAnswer answer);
   void UnblockSteps(Job* job);
   void Enqueue(Job* job, uint32_t task);
   void Dequeue(Job* job, uint32_t task);
@@ -157,7 +152,7 @@
   void Dispatch(Instant now);
   bool Order(Job* job, uint32_t task, Instant now);
   void OnRunEnd(uint64_t number, const RunEnd& end, Instant now);
-  void RetryTask(Job* job, uint32_t task, Reason reason, Instant now);
+  void RetryTask(Job* job, uint32_t task, Reason reason);
   void OrphanRuns(const WorkerEntry& entry, Instant since, Instant now);
   void ReleaseRun(uint64_t number, Instant now);
   void ReleaseId(const std::string& id, Instant now);
@@ -172,7 +167,6 @@
   // Of all entries, before a task with this turn.
   uint64_t WorkAhead(const std::string& service, Instant turn,
                      Instant now) const;
-  bool CanBeOnTime(const Job& job, Instant now) const;
   RunOrders* OutgoingTo(Incarnation guard);
 
   JobDeskOptions options_;
@@ -185,7 +179,6 @@
   WorkerTable workers_;
   uint64_t next_job_ = 1;
   uint64_t next_run_ = 1;
-  uint64_t waiting_work_ = 0;  // Core-milliseconds.
   std::unordered_map<uint64_t, Job> jobs_;
   std::unordered_map<std::string, uint64_t> job_by_id_;
   std::unordered_map<uint64_t, uint64_t> job_by_caller_;
--- a/src/held/run_keeper.cc
+++ b/src/held/run_keeper.cc
@@ -118,14 +118,10 @@
 }
 
 void RunKeeper::BeginLife(const WorkerAnnouncement& announcement, Instant now) {
-  if (worker_) LoseLife(Reason::kWorkerLost, now);
+  LoseLife(Reason::kWorkerLost);
   worker_ = announcement;
-  ++life_ticket_;
   last_seen_ = 0;
-  clock_.reset();
   NoteClock(announcement.worker_clock, now);
-  hold_in_flight_ = false;
-  look_in_flight_ = false;
   hold_not_before_ = now;
   last_answer_ = now;
   health_ = WorkerHealth(options_.health);
@@ -138,15 +134,15 @@
   MarkStale();
 }
 
-void RunKeeper::OnWithdrawn(const std::string& worker_id, Instant now) {
+void RunKeeper::OnWithdrawn(const std::string& worker_id) {
   if (!worker_ || worker_->life.id != worker_id) return;
   log_->Note("worker_withdrawn",
              {{"worker", worker_id}, {"runs", Text(runs_.size())}});
-  LoseLife(Reason::kWorkerLost, now);
+  LoseLife(Reason::kWorkerLost);
 }
 
 // Nothing of the present life goes on.
-void RunKeeper::LoseLife(Reason reason, Instant /*now*/) {
+void RunKeeper::LoseLife(Reason reason) {
   EndAll(reason);
   worker_.reset();
   clock_.reset();
@@ -532,7 +528,7 @@
                   {"verdict", std::string(WorkerVerdictName(reply.verdict))},
                   {"answer_age_ms", Text(Elapsed(last_answer_, now))},
                   {"runs", Text(runs_.size())}});
-      LoseLife(Reason::kWorkerLost, now);
+      LoseLife(Reason::kWorkerLost);
       return;
     case WorkerVerdict::kNoAnswer:
       hold_lost_ = now;
@@ -548,7 +544,7 @@
                                {"started_at", Text(present)},
                                {"now_started_at", Text(reply.started_at)},
                                {"runs", Text(runs_.size())}});
-    LoseLife(Reason::kWorkerLost, now);
+    LoseLife(Reason::kWorkerLost);
     return;
   }
   NoteClock(reply.worker_clock, now);
@@ -724,7 +720,7 @@
   }
 }
 
-void RunKeeper::Stop(Instant /*now*/) {
+void RunKeeper::Stop() {
   is_stopping_ = true;
   GiveBackQueued(Reason::kStopping);
   MarkStale();
--- a/src/held/run_keeper.h
+++ b/src/held/run_keeper.h
@@ -92,7 +92,7 @@
 
   // The worker.
   void OnAnnouncement(const WorkerAnnouncement& announcement, Instant now);
-  void OnWithdrawn(const std::string& worker_id, Instant now);
+  void OnWithdrawn(const std::string& worker_id);
   void OnStartReply(const MakeStart& start, const WorkerReply& reply,
                     Instant now);
   void OnStopReply(const MakeStop& stop, const WorkerReply& reply, Instant now);
@@ -106,7 +106,7 @@
 
   // The process stood still for long; what it believed of others is void.
   void OnSuspended(Instant now);
-  void Stop(Instant now);
+  void Stop();
   void OnTimer(Instant now);
 
   std::vector<KeeperAction> TakeActions(Instant now);
@@ -114,7 +114,6 @@
   bool is_idle() const { return runs_.empty(); }
   ServingState state(Instant now) const;
   const Resources& used() const { return used_; }
-  size_t run_count() const { return runs_.size(); }
   const std::optional<WorkerAnnouncement>& worker() const { return worker_; }
 
  private:
@@ -174,7 +173,7 @@
   bool IsStraggler(Run* run, uint32_t percent, Instant now) const;
   void ForgetMissing(const HoldReply& reply, Instant sent, Instant now);
   void BeginLife(const WorkerAnnouncement& announcement, Instant now);
-  void LoseLife(Reason reason, Instant now);
+  void LoseLife(Reason reason);
   void NoteClock(const std::optional<Millis>& clock, Instant now);
   std::optional<Millis> WorkerNow(Instant now) const;
   std::optional<Millis> LeaseDeadline(Instant now) const;
--- a/tests/job_desk_test.cc
+++ b/tests/job_desk_test.cc
@@ -129,7 +129,7 @@
 TEST_F(JobDeskTest, ARestartedGuardFreesTheRunsOfItsFormerSelfOnceSettled) {
   Up(kGuardA, 0);
   Submit(1, MakeJob("a", 1), 10);
-  desk_.OnGuardGone(kGuardA, At(20));
+  desk_.OnGuardDown(kGuardA, At(20));
   const Incarnation restarted{201};
   desk_.OnGuardUp(Address{1, static_cast<uint16_t>(kGuardA.value)}, restarted,
                   At(100));
@@ -269,16 +269,21 @@
 
 // Pattern: the catalog drops a queue while jobs wait in it.
 TEST_F(JobDeskTest, AJobOfADroppedQueueThatWaitsIsRefused) {
-  Up(kGuardA, 0, MakeReport(1, 32'000));
-  Submit(1, MakeJob("first", 4), 10);  // Fills what may wait at the guard.
-  Submit(2, MakeJob("second", 1), 11);
+  // Too much waits at the guard for more to be sent ahead of room, and too
+  // little for the job to be refused.
+  RunReport full = MakeReport(1, 32'000);
+  full.queued_work = 1500;
+  Up(kGuardA, 0, full);
+  Submit(1, MakeJob("waiting", 1), 10);
+  ASSERT_TRUE(orders_.empty());
+  ASSERT_TRUE(answers_.empty());
   auto empty = std::make_shared<Catalog>();
   empty->version = 2;
   desk_.SetCatalog(empty, At(20));
   Take(20);
-  if (answers_.contains(2)) {
-    EXPECT_EQ(answers_[2].state, HeldState::kRefused);
-  }
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kRefused);
+  EXPECT_EQ(answers_[1].reason, Reason::kNoSuchQueue);
 }
 
 }  // namespace
