Make one piece of code serve where the change had written it twice

Cause: read again, the change held copies: why a backend server takes nothing (also in Executor), HTTP status numbers in five files, elapsed time and field texts, the work of a task in four forms, the label check, the objective of a job, the noticing of a suspend in both roles, the life of a lease, state names beside JobStateName. Change: RefusalOf, http_status.h, Elapsed, Text, TaskWork, HasLabel, ObjectiveOf, SuspendWatch::HasBeenSuspended, LeaseLife. The chain of a job is estimated once at its arrival and not at each report; waiting work is summed once for all guards that get orders, not for each; the time of an echo lies with its guard, and goes with it (it was kept for every incarnation ever seen). LeaseLife rounds up, by under 1 ms. Left: JsonFields beside ObjectReader and HttpCaller beside EtcdStore's own handle are twins in part; joining them changes what they refuse, so they wait for a test each.

--- a/include/quetzalspindle/held_job.h
+++ b/include/quetzalspindle/held_job.h
@@ -69,9 +69,19 @@
   Millis retry_after{0};  // Above zero where coming back makes sense.
 };
 
-// Work of a step in thousandths of a core times milliseconds.
-inline int64_t StepWork(const HeldStep& step) {
-  return step.tasks * step.each.cpu_millis * step.estimate.count();
+// Estimated work in core-milliseconds: of one task with these needs, of one
+// task of a step, and of a step.
+inline constexpr int64_t kCpuMillisPerCore = 1000;
+inline uint64_t TaskWork(const Resources& each, Millis estimate) {
+  return static_cast<uint64_t>(each.cpu_millis * estimate.count() /
+                               kCpuMillisPerCore);
+}
+inline uint64_t TaskWork(const HeldStep& step) {
+  return TaskWork(step.each, step.estimate);
+}
+inline uint64_t StepWork(const HeldStep& step) {
+  return static_cast<uint64_t>(step.tasks * step.each.cpu_millis *
+                               step.estimate.count() / kCpuMillisPerCore);
 }
 
 // Estimated run time of the longest chain of steps.
--- a/include/quetzalspindle/time.h
+++ b/include/quetzalspindle/time.h
@@ -10,4 +10,9 @@
 using Instant = Clock::time_point;
 using Millis = std::chrono::milliseconds;
 
+// From one instant to another, in whole milliseconds.
+inline Millis Elapsed(Instant from, Instant to) {
+  return std::chrono::duration_cast<Millis>(to - from);
+}
+
 }  // namespace qs
--- a/src/core/executor.cc
+++ b/src/core/executor.cc
@@ -78,17 +78,8 @@
                             Instant now) const {
   // While stopping, the jobs of this process's own home may still end here.
   if (stopping_ && home != self_) return Reason::kStopping;
-  switch (backend_state(now)) {
-    case ServingState::kServing:
-    case ServingState::kStopping:
-      break;
-    case ServingState::kDraining:
-      return Reason::kExecutorDraining;
-    case ServingState::kBreakerOpen:
-      return Reason::kBreakerOpen;
-    case ServingState::kAbsent:
-      return Reason::kBackendAbsent;
-  }
+  const Reason refusal = RefusalOf(backend_state(now));
+  if (refusal != Reason::kNone) return refusal;
   if (!Offers(grant.service)) return Reason::kWrongService;
   // While the breaker is open, one grant at a time comes in as the probe.
   if (breaker_.open() && running_ + queued_ > 0) return Reason::kBreakerOpen;
--- a/src/daemon/job_entry_role.cc
+++ b/src/daemon/job_entry_role.cc
@@ -8,6 +8,7 @@
 #include "daemon/job_front.h"
 #include "daemon/node.h"
 #include "daemon/process_routes.h"
+#include "quetzalspindle/http_status.h"
 
 namespace qs {
 namespace {
@@ -86,8 +87,7 @@
   routes.push_back({"GET", kernel_->deployment->callers().readiness_path(),
                     [is_ready](const HttpRequest&) {
                       HttpResponse response;
-                      constexpr int kUnavailable = 503;
-                      if (!is_ready()) response.status = kUnavailable;
+                      if (!is_ready()) response.status = kHttpUnavailable;
                       response.body = "{}";
                       return response;
                     }});
@@ -126,12 +126,7 @@
 }
 
 void JobEntryRole::OnTick(Instant now) {
-  const Millis suspended = suspend_watch_.Check();
-  if (suspended > Millis(0)) {
-    Log(LogLevel::kWarn, "suspended",
-        {{"for_ms", std::to_string(suspended.count())}});
-    desk_->OnSuspended(now);
-  }
+  if (suspend_watch_.HasBeenSuspended()) desk_->OnSuspended(now);
   front_->CheckCallers(now);
   if (stopping_ && !gave_up_ &&
       now - stop_began_ >= kernel_->settings.stop_timeout - kStopMargin) {
--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "daemon/node.h"
 #include "daemon/process_routes.h"
+#include "quetzalspindle/http_status.h"
 
 namespace qs {
 namespace {
@@ -15,8 +16,6 @@
 constexpr Millis kTick{10};
 constexpr uint32_t kProcessHttpThreads = 2;
 
-constexpr int kBadRequest = 400;
-
 const bool kRegistered =
     RoleRegistry::Instance().Register("job_guard", &JobGuardRole::Make);
 
@@ -86,12 +85,7 @@
 }
 
 void JobGuardRole::OnTick(Instant now) {
-  const Millis suspended = suspend_watch_.Check();
-  if (suspended > Millis(0)) {
-    Log(LogLevel::kWarn, "suspended",
-        {{"for_ms", std::to_string(suspended.count())}});
-    keeper_->OnSuspended(now);
-  }
+  if (suspend_watch_.HasBeenSuspended()) keeper_->OnSuspended(now);
   keeper_->OnTimer(now);
   Pump();
 }
@@ -200,7 +194,7 @@
     Log(LogLevel::kWarn, "announcement_refused",
         {{"worker", request.suffix},
          {"findings", announcement.error().ToText()}});
-    response.status = kBadRequest;
+    response.status = kHttpBadRequest;
     return response;
   }
   asio::post(kernel_->io, [this, a = std::move(*announcement)] {
--- a/src/held/admission.cc
+++ b/src/held/admission.cc
@@ -2,18 +2,19 @@
 
 #include <algorithm>
 
+#include "quetzalspindle/held_job.h"
+
 namespace qs {
 namespace {
 
 constexpr Millis kShortestRetry{1000};  // Retry-After has whole seconds.
 constexpr Millis kNoWorkerRetry{2000};  // About one heartbeat of a worker.
-constexpr int64_t kMillisPerCore = 1000;
 // Share of the slack that the predicted wait may take. Estimates of the work
 // are off by some ten percent, and room comes in pieces.
 constexpr int kSlackPercent = 70;
 
 Millis TimeFor(uint64_t work, int64_t cpu_millis) {
-  return Millis(static_cast<int64_t>(work) * kMillisPerCore /
+  return Millis(static_cast<int64_t>(work) * kCpuMillisPerCore /
                 std::max<int64_t>(cpu_millis, 1));
 }
 
--- a/src/held/decision_log.h
+++ b/src/held/decision_log.h
@@ -1,12 +1,19 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "quetzalspindle/time.h"
+
 namespace qs {
 
+// Values of fields.
+inline std::string Text(uint64_t value) { return std::to_string(value); }
+inline std::string Text(Millis value) { return std::to_string(value.count()); }
+
 // Takes a record of each decision that touches a request or changes what the
 // process believes. The deciding parts have no I/O; the daemon writes the log.
 class DecisionLog {
--- a/src/held/job_desk.cc
+++ b/src/held/job_desk.cc
@@ -9,35 +9,20 @@
 namespace qs {
 namespace {
 
-constexpr int64_t kMillisPerCore = 1000;
 // Waiting tasks that are tried in a row without finding a worker.
 constexpr int kMaxMisses = 6;
 constexpr Millis kRestartRetry{1000};  // About the time until a peer is ready.
 
-Millis Elapsed(Instant from, Instant to) {
-  return std::chrono::duration_cast<Millis>(to - from);
-}
-
 Millis Until(Instant now, Instant then) {
   return std::max(Elapsed(now, then), Millis(0));
 }
 
-std::string Text(uint64_t value) { return std::to_string(value); }
-
-std::string Text(Millis value) { return std::to_string(value.count()); }
-
 std::string Name(Reason reason) { return std::string(ReasonName(reason)); }
 
-std::string_view StateName(HeldState state) {
-  switch (state) {
-    case HeldState::kComplete:
-      return "complete";
-    case HeldState::kFailed:
-      return "failed";
-    case HeldState::kRefused:
-      break;
-  }
-  return "refused";
+// From its arrival, a job is on time within this.
+Millis ObjectiveOf(const QueueDeclaration& queue, Millis chain) {
+  return std::chrono::duration_cast<Millis>(chain * queue.slack_factor) +
+         queue.latency_target;
 }
 
 JobState ToJobState(HeldState state) {
@@ -128,9 +113,7 @@
     return Reason::kEntryOverloaded;
   }
   if (IsImpossible(queue.service, job, now)) return Reason::kConstraintUnmet;
-  const Millis objective =
-      std::chrono::duration_cast<Millis>(chain * queue.slack_factor) +
-      queue.latency_target;
+  const Millis objective = ObjectiveOf(queue, chain);
   AdmissionInput input;
   input.serving_cpu = workers_.ServingCpu(queue.service, now);
   input.chain = chain;
@@ -140,7 +123,7 @@
   input.work_ahead = WorkAhead(queue.service, turn, now);
   input.work_in_all = WorkAhead(queue.service, Instant::max(), now);
   for (const HeldStep& step : job.steps) {
-    input.job_work += static_cast<uint64_t>(StepWork(step) / kMillisPerCore);
+    input.job_work += StepWork(step);
   }
   input.has_room = input.work_in_all == 0;
   const AdmissionVerdict verdict = JudgeAdmission(input);
@@ -186,9 +169,8 @@
   job.max_attempts = std::max<uint32_t>(queue.max_attempts, 1);
   job.priority = queue.priority;
   job.arrived = now;
-  const Millis objective = std::chrono::duration_cast<Millis>(
-                               ChainEstimate(spec) * queue.slack_factor) +
-                           queue.latency_target;
+  job.chain = ChainEstimate(spec);
+  const Millis objective = ObjectiveOf(queue, job.chain);
   job.on_time_by = now + objective;
   job.patient_until = now + spec.patience;
   job.useful_by =
@@ -220,10 +202,11 @@
                            HeldAnswer answer) {
   if (answer.state == HeldState::kRefused) observer_->Refused(answer.reason);
   if (answer.state != HeldState::kComplete) {
-    log_->Note("job_answered", {{"job", id},
-                                {"state", std::string(StateName(answer.state))},
-                                {"reason", Name(answer.reason)},
-                                {"retry_after_ms", Text(answer.retry_after)}});
+    log_->Note("job_answered",
+               {{"job", id},
+                {"state", std::string(JobStateName(ToJobState(answer.state)))},
+                {"reason", Name(answer.reason)},
+                {"retry_after_ms", Text(answer.retry_after)}});
   }
   actions_.emplace_back(SendHeldAnswer{caller, answer});
 }
@@ -243,11 +226,6 @@
 
 // Tasks.
 
-uint64_t JobDesk::WorkOf(const HeldStep& step) {
-  return static_cast<uint64_t>(step.each.cpu_millis * step.estimate.count() /
-                               kMillisPerCore);
-}
-
 void JobDesk::UnblockSteps(Job* job) {
   for (uint32_t i = 0; i < job->tasks.size(); ++i) {
     if (job->tasks[i].phase != TaskPhase::kBlocked) continue;
@@ -279,7 +257,7 @@
   for (const Waiting& item : waiting_) {
     if (item.turn > turn) break;
     const Job& job = jobs_.at(item.job);
-    sum += WorkOf(job.job.steps[job.tasks[item.task].step]);
+    sum += TaskWork(job.job.steps[job.tasks[item.task].step]);
   }
   return sum;
 }
@@ -292,7 +270,7 @@
     while (band < kBandLimits.size() && item.turn > now + kBandLimits[band]) {
       ++band;
     }
-    work[band] += WorkOf(job.job.steps[job.tasks[item.task].step]);
+    work[band] += TaskWork(job.job.steps[job.tasks[item.task].step]);
   }
   return work;
 }
@@ -625,9 +603,8 @@
   for (const auto& [number, job] : jobs_) {
     // What has run in part is finished for as long as its caller waits.
     const bool has_started = job.may_have_run || job.ordered > 0;
-    const bool is_over = has_started
-                             ? now >= job.patient_until
-                             : now + ChainEstimate(job.job) > job.useful_by;
+    const bool is_over = has_started ? now >= job.patient_until
+                                     : now + job.chain > job.useful_by;
     if (is_over) over.push_back(number);
   }
   for (const uint64_t number : over) {
@@ -654,21 +631,22 @@
 }
 
 std::vector<DeskAction> JobDesk::TakeActions(Instant now) {
+  const WorkByBand waiting = WaitingWork(now);
   for (auto item = outgoing_.begin(); item != outgoing_.end();) {
     auto& [guard, orders] = *item;
-    const WorkerEntry* entry = workers_.Find(guard);
+    WorkerEntry* entry = workers_.Find(guard);
     if (entry == nullptr || !entry->is_connected) {
       item = outgoing_.erase(item);
       continue;
     }
     const bool has_news = !orders.orders.empty() || !orders.stops.empty();
-    if (!has_news && now - echoed_[guard] < options_.echo_interval) {
+    if (!has_news && now - entry->echoed < options_.echo_interval) {
       ++item;
       continue;
     }
-    echoed_[guard] = now;
+    entry->echoed = now;
     orders.echo = entry->report.stamp;
-    orders.waiting_work = WaitingWork(now);
+    orders.waiting_work = waiting;
     actions_.emplace_back(SendOrders{guard, std::move(orders)});
     item = outgoing_.erase(item);
   }
--- a/src/held/job_desk.h
+++ b/src/held/job_desk.h
@@ -103,6 +103,7 @@
     std::string service;
     uint32_t max_attempts = 1;
     uint32_t priority = 0;
+    Millis chain{0};  // Estimate of its longest chain of steps.
     Instant arrived;
     Instant on_time_by;
     Instant useful_by;      // An answer later than this is of little use.
@@ -147,7 +148,6 @@
   void Dequeue(Job* job, uint32_t task);
   Instant TurnOf(const Job& job, const Task& task) const;
   PlacementNeed NeedOf(const Job& job, const Task& task) const;
-  static uint64_t WorkOf(const HeldStep& step);
 
   void Dispatch(Instant now);
   bool Order(Job* job, uint32_t task, Instant now);
@@ -187,7 +187,6 @@
   // Runs of jobs that were answered, by the job's id.
   std::unordered_map<std::string, uint32_t> leftover_runs_;
   std::map<Incarnation, RunOrders> outgoing_;
-  std::map<Incarnation, Instant> echoed_;
   std::vector<DeskAction> actions_;
 };
 
--- a/src/held/run_keeper.cc
+++ b/src/held/run_keeper.cc
@@ -33,14 +33,6 @@
 constexpr uint64_t kFirstFenceStep = 3'600'000;  // One hour of milliseconds.
 constexpr uint32_t kMaxFenceDoublings = 20;      // Keeps tokens below 2^53.
 
-Millis Elapsed(Instant from, Instant to) {
-  return std::chrono::duration_cast<Millis>(to - from);
-}
-
-std::string Text(uint64_t value) { return std::to_string(value); }
-
-std::string Text(Millis value) { return std::to_string(value.count()); }
-
 Reason ReasonOf(WorkerVerdict verdict) {
   switch (verdict) {
     case WorkerVerdict::kFenced:
@@ -275,24 +267,11 @@
 }
 
 Reason RunKeeper::RefusalFor(const RunOrder& order, Instant now) const {
-  if (is_stopping_) return Reason::kStopping;
-  switch (state(now)) {
-    case ServingState::kServing:
-      break;
-    case ServingState::kStopping:
-      return Reason::kStopping;
-    case ServingState::kDraining:
-      return Reason::kExecutorDraining;
-    case ServingState::kBreakerOpen:
-      return Reason::kBreakerOpen;
-    case ServingState::kAbsent:
-      return Reason::kBackendAbsent;
-  }
+  const Reason refusal = RefusalOf(state(now));
+  if (refusal != Reason::kNone) return refusal;
   if (order.service != worker_->service) return Reason::kWrongService;
   if (!order.need.FitsIn(worker_->capacity)) return Reason::kConstraintUnmet;
-  Resources room = worker_->capacity;
-  room -= used_;
-  const bool starts_now = queue_.empty() && order.need.FitsIn(room);
+  const bool starts_now = queue_.empty() && order.need.FitsIn(FreeRoom());
   if (starts_now) return Reason::kNone;
   // While the breaker is open, one run at a time comes in as the probe.
   if (health_.is_open()) return Reason::kBreakerOpen;
@@ -301,6 +280,12 @@
   return QueuedCpu() >= limit ? Reason::kExecutorQueueFull : Reason::kNone;
 }
 
+Resources RunKeeper::FreeRoom() const {
+  Resources room = worker_->capacity;
+  room -= used_;
+  return room;
+}
+
 uint32_t RunKeeper::CountOfStep(Incarnation home, uint32_t step_tag) const {
   uint32_t count = 0;
   for (auto run = runs_.lower_bound({home, 0});
@@ -334,9 +319,7 @@
       ++i;  // CheckHomes gives it back.
       continue;
     }
-    Resources room = worker_->capacity;
-    room -= used_;
-    if (!run.order.need.FitsIn(room)) {
+    if (!run.order.need.FitsIn(FreeRoom())) {
       // A large task at the head must not starve behind small ones.
       if (now >= run.start_by) return;
       ++passed_over;
@@ -740,16 +723,19 @@
   }
 }
 
+// After so long without a renewal, a worker has ended what it ran.
+Millis RunKeeper::LeaseLife() const {
+  return std::chrono::ceil<Millis>(options_.longest_lease / kSlowestClock) +
+         kLeaseSlack;
+}
+
 void RunKeeper::CheckWorker(Instant now) {
-  if (!is_settled_ &&
-      now - started_ > options_.longest_lease / kSlowestClock + kLeaseSlack) {
+  if (!is_settled_ && now - started_ > LeaseLife()) {
     // Whatever a former run of this guard had started has lapsed.
     is_settled_ = true;
     MarkStale();
   }
-  if (worker_ && !runs_.empty() &&
-      now - last_renewal_ >
-          options_.longest_lease / kSlowestClock + kLeaseSlack &&
+  if (worker_ && !runs_.empty() && now - last_renewal_ > LeaseLife() &&
       now - last_answer_ > options_.silent_after) {
     log_->Note("worker_silent",
                {{"worker", worker_->life.id},
@@ -767,8 +753,7 @@
     reported_state_ = present;
     if (present == ServingState::kAbsent ||
         present == ServingState::kBreakerOpen) {
-      GiveBackQueued(present == ServingState::kAbsent ? Reason::kBackendAbsent
-                                                      : Reason::kBreakerOpen);
+      GiveBackQueued(RefusalOf(present));
     }
     for (auto& [session, home] : sessions_) home.is_dirty = true;
   }
@@ -820,7 +805,7 @@
     const RunOrder& order = runs_.at(key).order;
     sum += order.need.cpu_millis * order.estimate.count();
   }
-  return static_cast<uint64_t>(sum) / 1000;
+  return static_cast<uint64_t>(sum / kCpuMillisPerCore);
 }
 
 RunReport RunKeeper::MakeReport(uint64_t session, HomeSession* home,
--- a/src/held/run_keeper.h
+++ b/src/held/run_keeper.h
@@ -158,6 +158,7 @@
 
   void Accept(uint64_t session, HomeSession* home, RunOrder order, Instant now);
   Reason RefusalFor(const RunOrder& order, Instant now) const;
+  Resources FreeRoom() const;
   uint32_t CountOfStep(Incarnation home, uint32_t step_tag) const;
   void StartReady(Instant now);
   void CallStart(Run* run, Instant now);
@@ -181,6 +182,7 @@
   HoldCall NextHold(Millis wait, Instant now);
   bool NeedsLook(Instant now) const;
   void CheckHomes(Instant now);
+  Millis LeaseLife() const;
   void CheckWorker(Instant now);
   void CheckRuns(Instant now);
   void MarkStale();
--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -12,6 +12,13 @@
 // Fewer workers make no meaningful median.
 constexpr size_t kMinForMedian = 3;
 
+// An empty label is had by all.
+bool HasLabel(const std::vector<std::string>& labels,
+              const std::string& label) {
+  return label.empty() ||
+         std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 }  // namespace
 
 WorkerTable::WorkerTable(const WorkerTableOptions& options, uint32_t seed)
@@ -57,8 +64,7 @@
 }
 
 void WorkerTable::OnOrdered(WorkerEntry* entry, const RunOrder& order) {
-  const auto work = static_cast<uint64_t>(order.need.cpu_millis *
-                                          order.estimate.count() / 1000);
+  const uint64_t work = TaskWork(order.need, order.estimate);
   entry->in_flight[order.number] = {order.need, work};
   entry->in_flight_need += order.need;
   entry->in_flight_work += work;
@@ -93,8 +99,8 @@
 }
 
 Millis WorkerTable::QueueDelay(const WorkerEntry& entry) {
-  const int64_t cores =
-      std::max<int64_t>(entry.report.capacity.cpu_millis / 1000, 1);
+  const int64_t cores = std::max<int64_t>(
+      entry.report.capacity.cpu_millis / kCpuMillisPerCore, 1);
   const auto work =
       static_cast<int64_t>(entry.report.queued_work + entry.in_flight_work);
   return Millis(work / cores);
@@ -108,10 +114,7 @@
   if (now - entry.heard > options_.silent_after) return false;
   if (now < entry.refused_until) return false;
   if (!need.need.FitsIn(entry.report.capacity)) return false;
-  if (need.required_label.empty()) return true;
-  const auto& labels = entry.report.labels;
-  return std::find(labels.begin(), labels.end(), need.required_label) !=
-         labels.end();
+  return HasLabel(entry.report.labels, need.required_label);
 }
 
 WorkerEntry* WorkerTable::Choose(const PlacementNeed& need, bool room_only,
@@ -190,9 +193,7 @@
   return std::any_of(offers_.begin(), offers_.end(), [&](const Offer& offer) {
     if (offer.service != need.service) return false;
     if (!need.need.FitsIn(offer.capacity)) return false;
-    return need.required_label.empty() ||
-           std::find(offer.labels.begin(), offer.labels.end(),
-                     need.required_label) != offer.labels.end();
+    return HasLabel(offer.labels, need.required_label);
   });
 }
 
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -31,7 +31,8 @@
   Address address;
   bool is_connected = false;
   bool has_report = false;
-  Instant heard;  // The last report.
+  Instant heard;   // The last report.
+  Instant echoed;  // When a report was last echoed.
   RunReport report;
   // Orders that the last report does not include yet, by number.
   std::map<uint64_t, std::pair<Resources, uint64_t>> in_flight;
--- a/src/kernel/suspend_watch.cc
+++ b/src/kernel/suspend_watch.cc
@@ -2,6 +2,8 @@
 
 #include <ctime>
 
+#include "base/log.h"
+
 namespace qs {
 namespace {
 
@@ -22,12 +24,14 @@
 
 SuspendWatch::SuspendWatch() : offset_(Offset()) {}
 
-Millis SuspendWatch::Check() {
+bool SuspendWatch::HasBeenSuspended() {
   const Millis offset = Offset();
   const Millis suspended = offset - offset_;
-  if (suspended <= kReadingError) return Millis(0);
+  if (suspended <= kReadingError) return false;
   offset_ = offset;
-  return suspended;
+  Log(LogLevel::kWarn, "suspended",
+      {{"for_ms", std::to_string(suspended.count())}});
+  return true;
 }
 
 }  // namespace qs
--- a/src/kernel/suspend_watch.h
+++ b/src/kernel/suspend_watch.h
@@ -10,9 +10,8 @@
  public:
   SuspendWatch();
 
-  // How long the machine was suspended since the last call, zero where it was
-  // not.
-  Millis Check();
+  // Whether the machine was suspended since the last call. Logs for how long.
+  bool HasBeenSuspended();
 
  private:
   Millis offset_;  // Of the clock that counts suspended time.
--- a/src/store/etcd_store.cc
+++ b/src/store/etcd_store.cc
@@ -6,14 +6,13 @@
 #include <utility>
 
 #include "http/base64.h"
+#include "quetzalspindle/http_status.h"
 
 namespace qs {
 namespace {
 
 using nlohmann::json;
 
-constexpr long kHttpOk = 200;
-
 // Initialises libcurl before main starts threads.
 const CURLcode kCurlReady = curl_global_init(CURL_GLOBAL_DEFAULT);
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -518,6 +518,22 @@
   return kNames.at(static_cast<size_t>(state));
 }
 
+Reason RefusalOf(ServingState state) {
+  switch (state) {
+    case ServingState::kServing:
+      return Reason::kNone;
+    case ServingState::kDraining:
+      return Reason::kExecutorDraining;
+    case ServingState::kBreakerOpen:
+      return Reason::kBreakerOpen;
+    case ServingState::kAbsent:
+      return Reason::kBackendAbsent;
+    case ServingState::kStopping:
+      break;
+  }
+  return Reason::kStopping;
+}
+
 std::string_view RunOutcomeName(RunOutcome outcome) {
   static constexpr std::array<std::string_view, 4> kNames = {
       "done", "failed", "not_started", "lost"};
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -96,6 +96,8 @@
   kStopping,
 };
 std::string_view ServingStateName(ServingState state);
+// Why a backend server in this state gets no new work; kNone when it serves.
+Reason RefusalOf(ServingState state);
 
 struct Load {
   uint32_t slots = 0;
