End planned stops in time, with every answer sent

Cause: rolling stops outlasted the grace time.

A process started in an outage of the store retries every 2 s at most instead of 10, so that it is a member 2 s after the outage.

--- a/src/daemon/platform_agent.h
+++ b/src/daemon/platform_agent.h
@@ -19,7 +19,7 @@
   std::string zone;
   Role role = Role::kGuard;
   Millis first_retry{200};
-  Millis longest_retry{10'000};
+  Millis longest_retry{2'000};
   Millis refresh{300'000};  // An entry reads the members again so often.
   // An entry of a process that is gone goes after `lease`. After an outage of
   // the service, one that lapsed is back within `renewal` and a call.
--- a/src/held/job_desk.cc
+++ b/src/held/job_desk.cc
@@ -11,6 +11,8 @@
 
 // Waiting tasks that are tried in a row without finding a worker.
 constexpr int kMaxMisses = 6;
+// A run takes up to so many times its estimate, with its wait for a worker.
+constexpr int kEstimateFactor = 2;
 constexpr Millis kRestartRetry{1000};  // About the time until a peer is ready.
 
 Millis Until(Instant now, Instant then) {
@@ -104,7 +106,7 @@
 Reason JobDesk::Refusal(const QueueDeclaration& queue, const HeldJob& job,
                         Instant now, Millis* retry_after) const {
   const Millis chain = ChainEstimate(job);
-  if (is_stopping_ && now + chain > finish_by_) {
+  if (is_stopping_ && now + kEstimateFactor * chain > finish_by_) {
     *retry_after = kRestartRetry;
     return Reason::kStopping;
   }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -10,6 +10,8 @@
 #include <array>
 #include <cctype>
 #include <cstring>
+#include <optional>
+#include <set>
 #include <thread>
 
 namespace qs {
@@ -37,6 +39,10 @@
   return text;
 }
 
+// The time that answers which are ready take at most to be written.
+constexpr Millis kLastAnswers{1000};
+constexpr Millis kLastAnswersCheck{5};
+
 int HighestDescriptor() {
   constexpr int kFallback = 1024;
   rlimit limit{};
@@ -45,6 +51,17 @@
   return static_cast<int>(std::min(limit.rlim_cur, kMost));
 }
 
+// Of a TCP socket over IPv4; nothing for any other descriptor.
+std::optional<Address> LocalAddress(int fd) {
+  sockaddr_in local{};
+  socklen_t size = sizeof(local);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&local), &size) != 0 ||
+      local.sin_family != AF_INET) {
+    return std::nullopt;
+  }
+  return Address{ntohl(local.sin_addr.s_addr), ntohs(local.sin_port)};
+}
+
 bool IsPeer(int fd, const char* address, int port) {
   sockaddr_in peer{};
   socklen_t size = sizeof(peer);
@@ -101,26 +118,56 @@
 
 HttpServer::~HttpServer() { Stop(); }
 
-void HttpServer::Stop() {
-  if (context_ != nullptr) mg_stop(context_);
-  context_ = nullptr;
-}
+void HttpServer::Stop() { StopAll({this}); }
 
 void HttpServer::StopAll(const std::vector<HttpServer*>& servers) {
+  EndReading(servers);
   std::vector<std::thread> threads;
   for (HttpServer* server : servers) {
-    if (server != nullptr) threads.emplace_back([server] { server->Stop(); });
+    if (server != nullptr) threads.emplace_back([server] { server->Close(); });
   }
   for (std::thread& thread : threads) thread.join();
 }
 
+// CivetWeb waits up to two seconds for a connection that is idle. At the end of
+// its reading side it closes at once, while an answer still goes out.
+void HttpServer::EndReading(const std::vector<HttpServer*>& servers) {
+  std::set<Address> listening;
+  for (const HttpServer* server : servers) {
+    if (server != nullptr && server->context_ != nullptr) {
+      listening.insert(server->options_.address);
+    }
+  }
+  if (listening.empty()) return;
+  const int highest = HighestDescriptor();
+  for (int fd = 0; fd < highest; ++fd) {
+    const std::optional<Address> local = LocalAddress(fd);
+    // Ends a listening socket as well: a caller that comes now is turned away
+    // by the system and goes elsewhere.
+    if (local && listening.contains(*local)) shutdown(fd, SHUT_RD);
+  }
+}
+
+// CivetWeb drops what is still being written when it is told to stop.
+void HttpServer::Close() {
+  if (context_ == nullptr) return;
+  const Instant give_up = Clock::now() + kLastAnswers;
+  while (in_service_ > 0 && Clock::now() < give_up) {
+    std::this_thread::sleep_for(kLastAnswersCheck);
+  }
+  mg_stop(context_);
+  context_ = nullptr;
+}
+
 int HttpServer::OnRequest(mg_connection* connection, void* self) {
-  const auto* server = static_cast<const HttpServer*>(self);
+  auto* server = static_cast<HttpServer*>(self);
+  ++server->in_service_;
   bool close = false;
   const HttpResponse response = server->Serve(connection, &close);
   close = close || response.close;
   if (close) mg_disable_connection_keep_alive(connection);
   Write(connection, response, close);
+  --server->in_service_;
   return response.status;
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -50,8 +51,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  // Stops listening and waits for the handlers to return, and for up to two
-  // seconds for idle connections.
+  // Takes no further request, lets the answers in progress go out for up to a
+  // second, and closes.
   void Stop();
   // Stops several servers at the same time. Null ones are passed over.
   static void StopAll(const std::vector<HttpServer*>& servers);
@@ -60,6 +61,9 @@
   HttpServer(HttpServerOptions options, std::vector<Route> routes);
 
   static int OnRequest(mg_connection* connection, void* self);
+  // Ends the reading side of every connection that these servers accepted.
+  static void EndReading(const std::vector<HttpServer*>& servers);
+  void Close();
   HttpResponse Serve(mg_connection* connection, bool* close) const;
   const Route* FindRoute(HttpRequest* request) const;
   static int SocketOf(mg_connection* connection);
@@ -70,6 +74,7 @@
   HttpServerOptions options_;
   std::vector<Route> routes_;
   mg_context* context_ = nullptr;
+  std::atomic<int> in_service_{0};  // Requests whose answer is not written yet.
 };
 
 }  // namespace qs
--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -210,6 +210,33 @@
   EXPECT_EQ(entries_[0]->Wait(Millis(10'000)), 0);
 }
 
+TEST_F(HeldPathTest, AStoppingGuardDoesNotWaitForIdleConnections) {
+  HttpCaller idle(At(100, 7001));
+  HttpExchange health;
+  health.method = "GET";
+  health.target = "/healthz";
+  health.timeout = Millis(1000);
+  EXPECT_EQ(idle.Exchange(health).status, 200);
+  const Instant told = Clock::now();
+  guards_[0]->Signal(SIGTERM);
+  EXPECT_EQ(guards_[0]->Wait(Millis(10'000)), 0);
+  EXPECT_LT(Clock::now() - told, Millis(1900));
+}
+
+// An outage must not push the retries of a new process far apart.
+TEST_F(HeldPathTest, AGuardStartedInAnOutageIsAMemberSoonAfterIt) {
+  kv_->SetDown(true);
+  kv_->EndLeases();
+  guards_[0]->Kill();
+  guards_[0] = StartGuard(0);
+  std::this_thread::sleep_for(Millis(6500));
+  kv_->SetDown(false);
+  const Instant returned = Clock::now();
+  const std::string key = "/quetzalspindle/members/" + At(100, 7000).ToString();
+  EXPECT_TRUE(WaitUntil([&] { return !kv_->Read(key).empty(); }));
+  EXPECT_LT(Clock::now() - returned, Millis(3000));
+}
+
 TEST_F(HeldPathTest, AChangedCatalogIsInForceAlsoWhenTheStoreGoesAway) {
   EXPECT_EQ(HandIn(1, NextId(), 1, 10, "/r/"), 200);
   WriteCatalog(2, false);
--- a/tests/job_desk_test.cc
+++ b/tests/job_desk_test.cc
@@ -167,6 +167,18 @@
   EXPECT_EQ(answers_[2].state, HeldState::kComplete);
 }
 
+// Rolling stops: callers keep coming for as long as other entries stop too.
+TEST_F(JobDeskTest, AStoppingDeskTakesWhatEndsInTimeAtTwiceItsEstimate) {
+  Up(kGuardA, 0);
+  desk_.BeginStop(At(1000));
+  Submit(1, MakeJob("a", 1, 4000, 400), 100);
+  EXPECT_EQ(orders_.size(), 1U);
+  Submit(2, MakeJob("b", 1, 4000, 400), 300);
+  EXPECT_EQ(answers_[2].state, HeldState::kRefused);
+  EXPECT_EQ(answers_[2].reason, Reason::kStopping);
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
 TEST_F(JobDeskTest, ARefusalIsGivenOnlyWhereNothingHasRun) {
   Up(kGuardA, 0);
   Submit(1, MakeJob("a", 1), 10);
