End the process without the static destructors of libraries

Cause: after 'stopped' the process stayed until the grace time was over and was killed, so that rolling stops overlapped: callers found up to three of four entries away. A process that ends right after main by _exit goes at once.

The shutdown of log4cplus is as it was. Which destructor waits is not known: the platform's players, not this machine, show it, so there is no test of it here; HeldPathTest holds the exit codes.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -171,5 +172,8 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   qs::InitLog(settings->log_level, settings->listen.ToString());
-  return Daemon(std::move(*settings), path).Run();
+  const int exit_code = Daemon(std::move(*settings), path).Run();
+  // All work is done and every line is flushed. Destructors of libraries that
+  // wait for their own threads must not outlast the time that a stop has.
+  std::quick_exit(exit_code);
 }
