Place tasks in the entry's own zone while it has room, and tell offers once

Placement chose among all workers alike. Each report repeated what the worker offers: service, rack, labels, capacity.

Weighed: own zone always (a busy zone would queue beside idle ones); own zone below 75 % of a worker's room, all workers above (chosen); no preference (as it was).

Change: reports carry the zone; offers are told once on a connection and when they change; the spread of slowness is judged only when it changed. WorkerTableTest names the patterns: a quiet zone, a busy one, a full one, a report without an offer.

--- a/src/daemon/job_entry_role.cc
+++ b/src/daemon/job_entry_role.cc
@@ -37,6 +37,7 @@
 
 std::error_code JobEntryRole::OnStart() {
   JobDeskOptions options;
+  options.workers.zone = kernel_->settings.zone;
   options.worker_lease = kernel_->settings.worker_lease;
   desk_ = std::make_unique<JobDesk>(
       options, &kernel_->metrics, &log_,
--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -41,6 +41,7 @@
 
 std::error_code JobGuardRole::OnStart() {
   RunKeeperOptions options;
+  options.zone = kernel_->settings.zone;
   options.longest_lease = kernel_->settings.worker_lease;
   keeper_ =
       std::make_unique<RunKeeper>(options, FirstFence(), &log_, Clock::now());
--- a/src/held/job_desk.cc
+++ b/src/held/job_desk.cc
@@ -636,6 +636,7 @@
 
 std::vector<DeskAction> JobDesk::TakeActions(Instant now) {
   if (is_dispatch_due_) Dispatch(now);
+  if (outgoing_.empty()) return std::exchange(actions_, {});
   const WorkByBand waiting = WaitingWork(now);
   for (auto item = outgoing_.begin(); item != outgoing_.end();) {
     auto& [guard, orders] = *item;
--- a/src/held/run_keeper.cc
+++ b/src/held/run_keeper.cc
@@ -57,6 +57,11 @@
   return Reason::kBackendUnreachable;
 }
 
+bool HasSameOffer(const WorkerAnnouncement& a, const WorkerAnnouncement& b) {
+  return a.service == b.service && a.rack == b.rack && a.labels == b.labels &&
+         a.capacity == b.capacity;
+}
+
 }  // namespace
 
 std::string_view WorkerVerdictName(WorkerVerdict verdict) {
@@ -98,6 +103,7 @@
   // A heartbeat that was held up carries an older state.
   if (announcement.sequence <= worker_->sequence) return;
   const bool began_draining = announcement.is_draining && !worker_->is_draining;
+  if (!HasSameOffer(announcement, *worker_)) ++offer_version_;
   worker_ = announcement;
   NoteClock(announcement.worker_clock, now);
   if (began_draining) {
@@ -112,6 +118,7 @@
 void RunKeeper::BeginLife(const WorkerAnnouncement& announcement, Instant now) {
   LoseLife(Reason::kWorkerLost);
   worker_ = announcement;
+  ++offer_version_;
   last_seen_ = 0;
   NoteClock(announcement.worker_clock, now);
   hold_not_before_ = now;
@@ -137,6 +144,7 @@
 void RunKeeper::LoseLife(Reason reason) {
   EndAll(reason);
   worker_.reset();
+  ++offer_version_;
   clock_.reset();
   ++life_ticket_;
   hold_in_flight_ = false;
@@ -815,7 +823,10 @@
   report.seen_order = home->seen_order;
   report.is_settled = is_settled_;
   report.state = state(now);
-  if (worker_) {
+  report.has_offer = home->told_offer != offer_version_;
+  home->told_offer = offer_version_;
+  if (report.has_offer) report.zone = options_.zone;
+  if (report.has_offer && worker_) {
     report.service = worker_->service;
     report.rack = worker_->rack;
     report.labels = worker_->labels;
--- a/src/held/run_keeper.h
+++ b/src/held/run_keeper.h
@@ -19,6 +19,7 @@
 class DecisionLog;
 
 struct RunKeeperOptions {
+  std::string zone;            // Availability zone, told to the entries.
   Millis longest_lease{1000};  // The worker shortens a longer one.
   // A home that has not echoed a report for so long counts as gone.
   Millis home_lease{700};
@@ -149,8 +150,9 @@
     WorkByBand waiting_work{};
     Instant waiting_told;
     Instant reported;
-    bool is_dirty = true;  // Has news that cannot wait.
-    bool is_stale = true;  // The load changed since the last report.
+    uint64_t told_offer = 0;  // As offer_version_ when it was last told.
+    bool is_dirty = true;     // Has news that cannot wait.
+    bool is_stale = true;     // The load changed since the last report.
     std::vector<RunEnd> ends;
   };
 
@@ -220,6 +222,7 @@
   std::vector<RunKey> queue_;  // By start_by.
   std::map<TaskRun, RunKey> by_task_;
   std::map<uint64_t, HomeSession> sessions_;
+  uint64_t offer_version_ = 1;  // Rises with each change of what is offered.
   ServingState reported_state_ = ServingState::kAbsent;
   std::vector<KeeperAction> actions_;
 };
--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -44,8 +44,9 @@
 
 void WorkerTable::OnReport(WorkerEntry* entry, const RunReport& report,
                            Instant now) {
-  entry->report = report;
-  entry->report.ends.clear();
+  const bool is_slowness_new =
+      !entry->has_report || entry->report.slowness != report.slowness;
+  TakeReport(entry, report);
   entry->has_report = true;
   entry->heard = now;
   while (!entry->in_flight.empty() &&
@@ -55,12 +56,30 @@
     entry->in_flight_work -= work;
     entry->in_flight.erase(entry->in_flight.begin());
   }
-  const Offer offer{report.service, report.capacity, report.labels};
-  if (!report.service.empty() &&
-      std::find(offers_.begin(), offers_.end(), offer) == offers_.end()) {
-    offers_.push_back(offer);
+  if (report.has_offer && !report.service.empty()) {
+    const Offer offer{report.service, report.capacity, report.labels};
+    if (std::find(offers_.begin(), offers_.end(), offer) == offers_.end()) {
+      offers_.push_back(offer);
+    }
+  }
+  if (is_slowness_new) JudgeOutliers();
+}
+
+void WorkerTable::TakeReport(WorkerEntry* entry, const RunReport& report) {
+  RunReport& known = entry->report;
+  if (!report.has_offer) {
+    // What it offers is as the last report on this connection said.
+    RunReport whole = report;
+    whole.service = std::move(known.service);
+    whole.rack = std::move(known.rack);
+    whole.labels = std::move(known.labels);
+    whole.capacity = known.capacity;
+    whole.zone = std::move(known.zone);
+    known = std::move(whole);
+  } else {
+    known = report;
   }
-  JudgeOutliers();
+  known.ends.clear();
 }
 
 void WorkerTable::OnOrdered(WorkerEntry* entry, const RunOrder& order) {
@@ -117,13 +136,26 @@
   return HasLabel(entry.report.labels, need.required_label);
 }
 
+// Zero for the rack of the data, one for the own zone while it has room to
+// spare, two for the rest.
+int WorkerTable::DistanceOf(const WorkerEntry& entry, const PlacementNeed& need,
+                            double load) const {
+  const bool is_at_data =
+      !need.preferred_rack.empty() && entry.report.rack == need.preferred_rack;
+  if (is_at_data) return 0;
+  const bool is_own_zone = !options_.zone.empty() &&
+                           entry.report.zone == options_.zone &&
+                           load < options_.own_zone_load;
+  return is_own_zone ? 1 : 2;
+}
+
 WorkerEntry* WorkerTable::Choose(const PlacementNeed& need, bool room_only,
                                  Instant now, Incarnation* guard) {
   struct Found {
     Incarnation guard;
     WorkerEntry* entry = nullptr;
-    bool is_near = false;
-    double load = 0;  // Lower is better.
+    int distance = 0;  // Lower goes first.
+    double load = 0;   // Lower is better.
   };
   std::vector<Found> with_room;
   Found shortest_queue;
@@ -132,15 +164,13 @@
     if (!IsUsable(entry, need, now)) continue;
     if (need.avoid.contains(incarnation)) continue;
     if (entry.is_outlier && now < entry.next_trial) continue;
-    const bool is_near = !need.preferred_rack.empty() &&
-                         entry.report.rack == need.preferred_rack;
     const Resources room = FreeRoom(entry);
     const double capacity = static_cast<double>(
         std::max<int64_t>(entry.report.capacity.cpu_millis, 1));
     if (need.need.FitsIn(room) && entry.report.queued_work == 0) {
+      const double load = 1 - static_cast<double>(room.cpu_millis) / capacity;
       with_room.push_back(
-          {incarnation, &entry, is_near,
-           1 - static_cast<double>(room.cpu_millis) / capacity});
+          {incarnation, &entry, DistanceOf(entry, need, load), load});
       continue;
     }
     if (room_only) continue;
@@ -151,19 +181,22 @@
         static_cast<double>(entry.in_flight_need.cpu_millis) / capacity;
     if (length < shortest) {
       shortest = length;
-      shortest_queue = {incarnation, &entry, is_near, 0};
+      shortest_queue = {incarnation, &entry, 0, 0};
     }
   }
   Found best = shortest_queue;
   if (!with_room.empty()) {
     std::shuffle(with_room.begin(), with_room.end(), random_);
-    std::stable_partition(with_room.begin(), with_room.end(),
-                          [](const Found& f) { return f.is_near; });
-    const bool near_only = with_room.front().is_near;
-    best = with_room.front();
+    const int nearest = std::min_element(with_room.begin(), with_room.end(),
+                                         [](const Found& a, const Found& b) {
+                                           return a.distance < b.distance;
+                                         })
+                            ->distance;
+    best = {};
+    best.load = std::numeric_limits<double>::max();
     size_t seen = 0;
     for (const Found& found : with_room) {
-      if (near_only && !found.is_near) break;
+      if (found.distance != nearest) continue;
       if (++seen > kChoices) break;
       if (found.load < best.load) best = found;
     }
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -14,6 +14,11 @@
 namespace qs {
 
 struct WorkerTableOptions {
+  std::string zone;  // Availability zone of the entry.
+  // A worker of the entry's own zone goes first until so much of it is in use:
+  // the way is shorter, and bytes between zones are paid for. Above it, the
+  // work of a busy zone goes to all.
+  double own_zone_load = 0.75;
   // A guard without a report for so long gets no orders.
   Millis silent_after{500};
   // Pause after a guard gave an order back for want of room.
@@ -87,6 +92,9 @@
  private:
   bool IsUsable(const WorkerEntry& entry, const PlacementNeed& need,
                 Instant now) const;
+  static void TakeReport(WorkerEntry* entry, const RunReport& report);
+  int DistanceOf(const WorkerEntry& entry, const PlacementNeed& need,
+                 double load) const;
   static Resources FreeRoom(const WorkerEntry& entry);
   static Millis QueueDelay(const WorkerEntry& entry);
   void JudgeOutliers();
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -229,19 +229,28 @@
       ends.emplace_back(end.number, static_cast<uint8_t>(end.outcome),
                         static_cast<uint8_t>(end.reason), ToWire(end.run_time));
     }
-    const auto service = b->CreateString(m.service);
-    const auto rack = b->CreateString(m.rack);
-    const auto labels = b->CreateVectorOfStrings(m.labels);
+    // An offset of zero leaves the field out.
+    Offset<flatbuffers::String> service;
+    Offset<flatbuffers::String> rack;
+    Offset<flatbuffers::String> zone;
+    Offset<flatbuffers::Vector<Offset<flatbuffers::String>>> labels;
+    if (m.has_offer) {
+      service = b->CreateString(m.service);
+      rack = b->CreateString(m.rack);
+      zone = b->CreateString(m.zone);
+      labels = b->CreateVectorOfStrings(m.labels);
+    }
     const auto end_vector = b->CreateVectorOfStructs(ends);
     const auto waiting =
         b->CreateVector(m.waiting_work.data(), m.waiting_work.size());
     const fb::Resources capacity = ToFb(m.capacity);
     const fb::Resources used = ToFb(m.used);
     return {fb::Body::RunReport,
-            fb::CreateRunReport(*b, m.stamp, m.seen_order, m.earlier_runs,
-                                m.is_settled, static_cast<uint8_t>(m.state),
-                                service, rack, labels, &capacity, &used,
-                                m.queued_work, waiting, m.slowness, end_vector)
+            fb::CreateRunReport(
+                *b, m.stamp, m.seen_order, m.earlier_runs, m.is_settled,
+                static_cast<uint8_t>(m.state), service, rack, labels,
+                m.has_offer ? &capacity : nullptr, &used, m.queued_work,
+                waiting, m.slowness, end_vector, zone, m.has_offer)
                 .Union()};
   }
 };
@@ -489,8 +498,10 @@
     out.earlier_runs = m.earlier_runs();
     out.is_settled = m.is_settled();
     out.state = Enum<ServingState>(m.state(), kMaxServingState);
+    out.has_offer = m.has_offer();
     out.service = Text(m.service());
     out.rack = Text(m.rack());
+    out.zone = Text(m.zone());
     if (m.labels() != nullptr) {
       for (const auto* label : *m.labels()) out.labels.push_back(label->str());
     }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -212,10 +212,15 @@
   uint32_t earlier_runs = 0;  // Of former connections of this entry, not ended.
   bool is_settled = false;    // Nothing of a former run of the guard goes on.
   ServingState state = ServingState::kAbsent;
+  // What the worker offers. Told once on a connection and when it changes:
+  // where `has_offer` is false, those below up to `zone` are empty and the last
+  // ones hold.
+  bool has_offer = true;
   std::string service;
   std::string rack;
   std::vector<std::string> labels;
   Resources capacity;
+  std::string zone;  // Availability zone of the guard.
   Resources used;
   uint64_t queued_work = 0;   // Core-milliseconds that wait at the guard.
   WorkByBand waiting_work{};  // As told by all entries together.
--- /dev/null
+++ b/tests/worker_table_test.cc
@@ -0,0 +1,95 @@
+#include "held/worker_table.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "held_harness.h"
+
+namespace qs::test {
+namespace {
+
+constexpr int kWorkersPerZone = 3;
+
+class WorkerTableTest : public ::testing::Test {
+ protected:
+  static WorkerTableOptions Options() {
+    WorkerTableOptions options;
+    options.zone = "z0";
+    return options;
+  }
+
+  // Workers of two zones, of 32 cores each, on which so much is in use.
+  void Fleet(int64_t own_used, int64_t other_used) {
+    for (int i = 0; i < 2 * kWorkersPerZone; ++i) {
+      const bool is_own = i < kWorkersPerZone;
+      RunReport report = MakeReport(1, is_own ? own_used : other_used);
+      report.zone = is_own ? "z0" : "z1";
+      Report(i, report);
+    }
+  }
+
+  void Report(int worker, const RunReport& report) {
+    const Incarnation guard{static_cast<uint64_t>(worker) + 100};
+    WorkerEntry* entry = table_.Find(guard);
+    if (entry == nullptr) {
+      entry = table_.OnUp(Address{1, static_cast<uint16_t>(100 + worker)},
+                          guard, At(0));
+    }
+    table_.OnReport(entry, report, At(0));
+  }
+
+  // How many of `count` tasks went to each zone.
+  std::map<std::string, int> Place(int count, int64_t cpu = 3000) {
+    std::map<std::string, int> placed;
+    PlacementNeed need;
+    need.service = "svc";
+    need.need = {cpu, 64, 0};
+    need.estimate = Millis(100);
+    for (int i = 0; i < count; ++i) {
+      Incarnation guard;
+      WorkerEntry* entry = table_.Choose(need, true, At(0), &guard);
+      if (entry == nullptr) break;
+      ++placed[entry->report.zone];
+      RunOrder order;
+      order.number = ++next_;
+      order.need = need.need;
+      order.estimate = need.estimate;
+      WorkerTable::OnOrdered(entry, order);
+    }
+    return placed;
+  }
+
+  WorkerTable table_{Options(), 5};
+  uint64_t next_ = 0;
+};
+
+// An ordinary day: each zone has room for the work of its own callers.
+TEST_F(WorkerTableTest, AQuietZoneKeepsItsWork) {
+  Fleet(0, 0);
+  EXPECT_EQ(Place(20), (std::map<std::string, int>{{"z0", 20}}));
+}
+
+// Callers move to one zone, or many come at once.
+TEST_F(WorkerTableTest, ABusyZoneSharesItsWorkWithAll) {
+  Fleet(24'000, 0);
+  EXPECT_GE(Place(20)["z1"], 15);
+}
+
+TEST_F(WorkerTableTest, AFullZoneLeavesNoTaskWaiting) {
+  Fleet(32'000, 0);
+  EXPECT_EQ(Place(30), (std::map<std::string, int>{{"z1", 30}}));
+}
+
+TEST_F(WorkerTableTest, AReportWithoutAnOfferKeepsTheLastOne) {
+  Fleet(0, 32'000);
+  RunReport brief;
+  brief.has_offer = false;
+  brief.state = ServingState::kServing;
+  for (int i = 0; i < kWorkersPerZone; ++i) Report(i, brief);
+  EXPECT_EQ(Place(5)["z0"], 5);
+  EXPECT_EQ(table_.ServingCpu("svc", At(0)), 6 * 32'000);
+}
+
+}  // namespace
+}  // namespace qs::test
