Soak the roles for held jobs with a seeded schedule of failures

Cause: job_entry and job_guard ran as processes in tests of single failures only; overlapping ones were left to the state machines' random test.

Change: qsheldsoak runs entries and guards as processes with callers who leave and send again, kills, pauses, stops, reloads, changes of the configuration, an outage and a forgotten history of the store, workers that fail and drain, and proxies that delay, mute, silence and reset connections to workers and store. It judges six promises from what callers and workers see. The stand-in of a worker now ends runs that lapse while nobody calls it, without which a killed guard's runs looked alive.

Links between entries and guards have no proxy yet: they are cut by pauses and kills only.

--- a/tests/lib/fake_worker.cc
+++ b/tests/lib/fake_worker.cc
@@ -14,6 +14,12 @@
 constexpr int64_t kTaskCpu = 4000;  // Of every task of the tests.
 constexpr int64_t kLongestLeaseMs = 1000;
 constexpr Millis kHeartbeat{200};
+// How late a run that lapsed is ended.
+constexpr Millis kTick{5};
+
+std::string JobOf(const std::string& task) {
+  return task.substr(0, task.find('.'));
+}
 
 }  // namespace
 
@@ -21,19 +27,31 @@
   const std::lock_guard lock(mutex_);
   ++starts_;
   ++running_;
+  ++starts_by_job_[JobOf(task)];
   if (++open_[task] > 1) ++doubled_;
 }
 
-void RunLedger::Ended(const std::string& task) {
+void RunLedger::Ended(const std::string& task, bool is_done) {
   const std::lock_guard lock(mutex_);
   --running_;
   --open_[task];
+  if (is_done) done_by_job_[JobOf(task)].insert(task);
+}
+
+int RunLedger::starts_of(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  return starts_by_job_[job];
+}
+
+int RunLedger::done_of(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(done_by_job_[job].size());
 }
 
-FakeWorker::FakeWorker(std::string id, Address address, Address guard,
-                       int64_t cpu, RunLedger* ledger)
+FakeWorker::FakeWorker(std::string id, Address address, Address announced,
+                       Address guard, int64_t cpu, RunLedger* ledger)
     : id_(std::move(id)),
-      address_(address),
+      announced_(announced),
       guard_(guard),
       cpu_(cpu),
       ledger_(ledger),
@@ -59,12 +77,14 @@
   if (!http) std::abort();
   http_ = std::move(*http);
   announcer_ = std::thread([this] { Announce(); });
+  watcher_ = std::thread([this] { Watch(); });
 }
 
 FakeWorker::~FakeWorker() {
   is_stopping_ = true;
   changed_.notify_all();
   announcer_.join();
+  watcher_.join();
   http_->Stop();
 }
 
@@ -100,7 +120,7 @@
   uint32_t& highest = highest_[key.first];
   highest = std::max(highest, key.second);
   running_.erase(key);
-  ledger_->Ended(key.first);
+  ledger_->Ended(key.first, std::string_view(how) == "done");
 }
 
 void FakeWorker::Settle() {
@@ -185,23 +205,43 @@
 void FakeWorker::Announce() {
   HttpCaller caller(guard_);
   uint64_t sequence = 0;
+  Instant next = Clock::now();
   while (!is_stopping_) {
-    HttpExchange exchange;
-    exchange.target = "/-/Instances.Heartbeat/" + id_;
-    exchange.body = json{
-        {"service", "svc"},
-        {"address", address_.ToString()},
-        {"zone", "z"},
-        {"state", is_draining_ ? "draining" : "ready"},
-        {"capacity", {{"cpu", cpu_}, {"memMb", 65'536}, {"gpu", 0}}},
-        {"labels", {"a", "r1-1"}},
-        {"currentTimeMs", ClockNow()},
-        {"born", born_ms_},
-        {"seq",
-         ++sequence}}.dump();
-    (void)caller.Exchange(exchange);
-    std::this_thread::sleep_for(kHeartbeat);
+    if (Clock::now() >= next) {
+      SendHeartbeat(&caller, ++sequence);
+      next = Clock::now() + kHeartbeat;
+    }
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
+// What lapses while nobody calls must end as well.
+void FakeWorker::Watch() {
+  while (!is_stopping_) {
+    {
+      const std::lock_guard lock(mutex_);
+      Settle();
+    }
+    std::this_thread::sleep_for(kTick);
   }
 }
 
+void FakeWorker::SendHeartbeat(HttpCaller* caller, uint64_t sequence) {
+  HttpExchange exchange;
+  exchange.target = "/-/Instances.Heartbeat/" + id_;
+  exchange.timeout = Millis(1000);
+  exchange.body = json{
+      {"service", "svc"},
+      {"address", announced_.ToString()},
+      {"zone", "z"},
+      {"state", is_draining_ ? "draining" : "ready"},
+      {"capacity", {{"cpu", cpu_}, {"memMb", 65'536}, {"gpu", 0}}},
+      {"labels", {"a", "r1-1"}},
+      {"currentTimeMs", ClockNow()},
+      {"born", born_ms_},
+      {"seq",
+       sequence}}.dump();
+  (void)caller->Exchange(exchange);
+}
+
 }  // namespace qs::test
--- a/tests/lib/fake_worker.h
+++ b/tests/lib/fake_worker.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -15,13 +16,20 @@
 #include "http/http_server.h"
 #include "quetzalspindle/time.h"
 
+namespace qs {
+class HttpCaller;
+}
+
 namespace qs::test {
 
 // What all fake workers of a test started, and what they saw go wrong.
 class RunLedger {
  public:
   void Started(const std::string& task);
-  void Ended(const std::string& task);
+  void Ended(const std::string& task, bool is_done);
+  // Of the tasks of a job.
+  int starts_of(const std::string& job);
+  int done_of(const std::string& job);
   // Tasks that had two runs at a time.
   int doubled() const { return doubled_; }
   int starts() const { return starts_; }
@@ -30,6 +38,8 @@
  private:
   std::mutex mutex_;
   std::map<std::string, int> open_;
+  std::map<std::string, int> starts_by_job_;
+  std::map<std::string, std::set<std::string>> done_by_job_;
   std::atomic<int> doubled_{0};
   std::atomic<int> starts_{0};
   std::atomic<int> running_{0};
@@ -39,9 +49,10 @@
 // its spec says, as long as its lease is renewed.
 class FakeWorker {
  public:
-  // Announces itself at `guard`. `ledger` must outlive the worker.
-  FakeWorker(std::string id, Address address, Address guard, int64_t cpu,
-             RunLedger* ledger);
+  // Announces itself at `guard`, as reached at `announced`, where a proxy may
+  // stand before it. `ledger` must outlive the worker.
+  FakeWorker(std::string id, Address address, Address announced, Address guard,
+             int64_t cpu, RunLedger* ledger);
   ~FakeWorker();
 
   void SetDraining(bool is_draining) { is_draining_ = is_draining; }
@@ -65,9 +76,11 @@
   void End(const Key& key, const char* how);
   int64_t ClockNow() const;
   void Announce();
+  void Watch();
+  void SendHeartbeat(HttpCaller* caller, uint64_t sequence);
 
   std::string id_;
-  Address address_;
+  Address announced_;
   Address guard_;
   int64_t cpu_;
   RunLedger* ledger_;
@@ -87,6 +100,7 @@
   std::atomic<int> starts_{0};
   std::unique_ptr<HttpServer> http_;
   std::thread announcer_;
+  std::thread watcher_;
 };
 
 }  // namespace qs::test
--- /dev/null
+++ b/tools/held_soak.cc
@@ -0,0 +1,306 @@
+// A seeded run of callers of held jobs against a schedule of failures, on real
+// processes: signals, proxies that delay, mute, silence and reset connections,
+// a store and workers that misbehave. Ends with one line for each promise and
+// its count of violations; the exit code depends on these only.
+
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "lib/cluster.h"
+#include "lib/held_cluster.h"
+
+namespace {
+
+using qs::Clock;
+using qs::Instant;
+using qs::Millis;
+using qs::test::FaultProxy;
+using qs::test::HeldCluster;
+
+constexpr int kEntries = 2;
+// What the callers of the platform wait before they send a job again.
+constexpr Millis kSendAgainAfter{1300};
+constexpr Millis kPatience{6000};
+// An answer may be on its way when the caller's patience ends.
+constexpr Millis kPatienceSlack{1500};
+// The processes of a stop have a grace of four seconds.
+constexpr Millis kLongestStop{5000};
+constexpr Millis kRecovery{20'000};
+
+class HeldSoak {
+ public:
+  HeldSoak(HeldCluster* cluster, int guards, uint32_t seed, int failures,
+           int callers)
+      : cluster_(cluster),
+        guards_(guards),
+        seed_(seed),
+        failures_(failures),
+        callers_(callers) {}
+
+  void Run() {
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers_; ++i) {
+      threads.emplace_back([this, i] { Caller(i); });
+    }
+    RunFailures();
+    EndFailures(true);
+    stop_ = true;
+    for (std::thread& thread : threads) thread.join();
+    CheckRecovery();
+    StopAll();
+  }
+
+  // Prints the verdict and returns whether every promise held.
+  bool Judge() {
+    violations_["one run of a task at a time"] = cluster_->ledger().doubled();
+    std::printf("starts %d, answers", cluster_->ledger().starts());
+    for (const auto& [status, count] : answers_) {
+      std::printf(" %d:%d", status, count);
+    }
+    std::printf(", failures");
+    for (const auto& [name, count] : injected_) {
+      std::printf(" %s:%d", name.c_str(), count);
+    }
+    std::printf("\n");
+    bool held = true;
+    for (const auto& [promise, count] : violations_) {
+      std::printf("%s: %d violations\n", promise.c_str(), count);
+      held = held && count == 0;
+    }
+    return held;
+  }
+
+ private:
+  void Break(const char* promise, const std::string& id, int status) {
+    const std::lock_guard lock(mutex_);
+    ++violations_[promise];
+    std::printf("%s: job %s, status %d\n", promise, id.c_str(), status);
+  }
+
+  // Hands in one job after another. One without an answer goes to any entry
+  // again, as the platform's callers do.
+  void Caller(int number) {
+    std::mt19937 random(seed_ * 1000 + static_cast<uint32_t>(number));
+    while (!stop_) {
+      const std::string id = cluster_->NextId();
+      const int tasks = 1 + static_cast<int>(random() % 4);
+      const Millis run_time(5 + random() % 300);
+      bool was_sent_before = false;
+      int status = 0;
+      for (int attempt = 0; attempt < 3 && status == 0; ++attempt) {
+        if (attempt > 0) std::this_thread::sleep_for(kSendAgainAfter);
+        // Some callers leave early, and some of these come back.
+        const bool leaves = random() % 12 == 0;
+        const Millis patience =
+            leaves ? Millis(20 + random() % 300) : kPatience;
+        was_sent_before = attempt > 0;
+        const Instant sent = Clock::now();
+        status = cluster_
+                     ->HandIn(static_cast<int>(random() % kEntries), id, tasks,
+                              run_time, "/q/", patience)
+                     .status;
+        if (Clock::now() - sent > patience + kPatienceSlack) {
+          Break("callers are answered in time or cut off", id, status);
+        }
+      }
+      Judge(id, tasks, status, was_sent_before);
+      std::this_thread::sleep_for(Millis(random() % 40));
+    }
+  }
+
+  void Judge(const std::string& id, int tasks, int status,
+             bool was_sent_before) {
+    {
+      const std::lock_guard lock(mutex_);
+      ++answers_[status];
+    }
+    qs::test::RunLedger& ledger = cluster_->ledger();
+    if (status == 200 && ledger.done_of(id) != tasks) {
+      Break("complete when every task is done", id, status);
+    }
+    // Of a job that was sent once, a refusal says that nothing ran or will.
+    const bool is_refused = status == 503 || status == 429;
+    if (is_refused && !was_sent_before) {
+      const std::lock_guard lock(mutex_);
+      refused_.push_back(id);
+    }
+  }
+
+  using Failure = void (HeldSoak::*)(int pick);
+
+  // Failures overlap: each begins a moment after the one before, and what is
+  // still there is ended now and then.
+  void RunFailures() {
+    struct Row {
+      const char* name;
+      Failure failure;
+    };
+    static constexpr std::array kRows = {
+        Row{"kill_guard", &HeldSoak::KillGuard},
+        Row{"pause_guard", &HeldSoak::PauseGuard},
+        Row{"stop_guard", &HeldSoak::StopGuard},
+        Row{"kill_entry", &HeldSoak::KillEntry},
+        Row{"pause_entry", &HeldSoak::PauseEntry},
+        Row{"stop_entry", &HeldSoak::StopEntry},
+        Row{"reload", &HeldSoak::Reload},
+        Row{"store_down", &HeldSoak::StoreDown},
+        Row{"store_history", &HeldSoak::StoreHistory},
+        Row{"store_link", &HeldSoak::StoreLink},
+        Row{"worker_link", &HeldSoak::WorkerLink},
+        Row{"worker_link", &HeldSoak::WorkerLink},
+        Row{"worker_fails", &HeldSoak::WorkerFails},
+        Row{"worker_drains", &HeldSoak::WorkerDrains},
+        Row{"configuration", &HeldSoak::ChangeConfiguration},
+    };
+    std::mt19937 random(seed_);
+    for (int i = 0; i < failures_; ++i) {
+      const Row& row = kRows[random() % kRows.size()];
+      ++injected_[row.name];
+      (this->*row.failure)(static_cast<int>(random() % 1000));
+      std::this_thread::sleep_for(Millis(50 + random() % 900));
+      if (random() % 3 == 0) EndFailures(false);
+    }
+  }
+
+  void KillGuard(int pick) { cluster_->StartGuard(pick % guards_); }
+  void PauseGuard(int pick) { cluster_->guard(pick % guards_).Signal(SIGSTOP); }
+  void StopGuard(int pick) {
+    const int i = pick % guards_;
+    Stop(&cluster_->guard(i));
+    cluster_->StartGuard(i);
+  }
+  void KillEntry(int pick) { cluster_->StartEntry(pick % kEntries); }
+  void PauseEntry(int pick) {
+    cluster_->entry(pick % kEntries).Signal(SIGSTOP);
+  }
+  void StopEntry(int pick) {
+    const int i = pick % kEntries;
+    Stop(&cluster_->entry(i));
+    cluster_->StartEntry(i);
+  }
+  void Reload(int pick) { cluster_->entry(pick % kEntries).Signal(SIGHUP); }
+  void StoreDown(int pick) {
+    cluster_->kv().SetDown(true);
+    if (pick % 2 == 0) cluster_->kv().EndLeases();
+  }
+  void StoreHistory(int pick) {
+    cluster_->kv().Compact();
+    if (pick % 2 == 0) cluster_->kv().LoseNextReply();
+  }
+  void StoreLink(int pick) { cluster_->store_proxy().SetMode(ModeOf(pick)); }
+  void WorkerLink(int pick) {
+    cluster_->worker_proxy(pick % guards_).SetMode(ModeOf(pick / 7));
+  }
+  void WorkerFails(int pick) {
+    cluster_->worker(pick % guards_).SetFailing(true);
+  }
+  void WorkerDrains(int pick) {
+    cluster_->worker(pick % guards_).SetDraining(true);
+  }
+  void ChangeConfiguration(int /*pick*/) {
+    ++version_;
+    cluster_->WriteCatalog(version_, version_ % 2 == 0);
+  }
+
+  static FaultProxy::Mode ModeOf(int pick) {
+    static constexpr std::array kModes = {
+        FaultProxy::Mode::kDelay, FaultProxy::Mode::kMute,
+        FaultProxy::Mode::kSilent, FaultProxy::Mode::kReset};
+    return kModes[static_cast<size_t>(pick) % kModes.size()];
+  }
+
+  void Stop(qs::test::Process* process) {
+    process->Signal(SIGCONT);
+    process->Signal(SIGTERM);
+    if (process->Wait(kLongestStop) < 0) {
+      Break("a planned stop ends in its grace time", "-", 0);
+    }
+  }
+
+  // Ends every failure that is still there; paused processes go on at random.
+  void EndFailures(bool all) {
+    cluster_->kv().SetDown(false);
+    cluster_->store_proxy().SetMode(FaultProxy::Mode::kPass);
+    for (int i = 0; i < kEntries; ++i) cluster_->entry(i).Signal(SIGCONT);
+    for (int i = 0; i < guards_; ++i) {
+      cluster_->guard(i).Signal(SIGCONT);
+      cluster_->worker_proxy(i).SetMode(FaultProxy::Mode::kPass);
+      if (!all && i % 2 == 0) continue;
+      cluster_->worker(i).SetFailing(false);
+      cluster_->worker(i).SetDraining(false);
+    }
+  }
+
+  void CheckRecovery() {
+    for (int i = 0; i < kEntries; ++i) {
+      const bool is_back = qs::test::WaitUntil(
+          [&] {
+            return cluster_->HandIn(i, cluster_->NextId(), 1, Millis(1))
+                       .status == 200;
+          },
+          kRecovery);
+      if (!is_back) Break("jobs are served once failures stop", "-", i);
+    }
+    for (const std::string& id : refused_) {
+      if (cluster_->ledger().starts_of(id) > 0) {
+        Break("a refusal says that nothing ran", id, 0);
+      }
+    }
+  }
+
+  void StopAll() {
+    for (int i = 0; i < kEntries; ++i) Stop(&cluster_->entry(i));
+    for (int i = 0; i < guards_; ++i) Stop(&cluster_->guard(i));
+  }
+
+  HeldCluster* cluster_;
+  int guards_;
+  uint32_t seed_;
+  int failures_;
+  int callers_;
+  uint64_t version_ = 2;
+  std::atomic<bool> stop_{false};
+  std::map<std::string, int> injected_;
+  std::mutex mutex_;
+  std::map<int, int> answers_;
+  std::vector<std::string> refused_;
+  std::map<std::string, int> violations_ = {
+      {"one run of a task at a time", 0},
+      {"complete when every task is done", 0},
+      {"a refusal says that nothing ran", 0},
+      {"callers are answered in time or cut off", 0},
+      {"a planned stop ends in its grace time", 0},
+      {"jobs are served once failures stop", 0},
+  };
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"qsheldsoak: callers of held jobs against a seeded schedule"};
+  int guards = 4;
+  uint32_t seed = 1;
+  int failures = 20;
+  int callers = 8;
+  app.add_option("--guards", guards)->check(CLI::Range(2, 50));
+  app.add_option("--seed", seed);
+  app.add_option("--failures", failures)->check(CLI::Range(0, 10'000));
+  app.add_option("--callers", callers)->check(CLI::Range(1, 100));
+  CLI11_PARSE(app, argc, argv);
+  HeldCluster cluster(guards, kEntries);
+  std::printf("seed %u\n", seed);
+  if (!cluster.WaitReady()) {
+    std::printf("the processes did not become ready\n");
+    return 1;
+  }
+  HeldSoak soak(&cluster, guards, seed, failures, callers);
+  soak.Run();
+  return soak.Judge() ? 0 : 1;
+}
