Judge a failed job in the soak, and keep the logs of a soak that fails

Traced to the soak: a job of which a task failed three times is answered with status 200 and the state failed, which the check took for complete.

Change: the check reads the state; a state failed now needs three failures of one task in the ledger, which nothing checked before. A soak that finds something prints the history of the job's runs and leaves all logs.

Conclusion: no fault of the product; the check is stricter than it was.

--- a/tests/lib/fake_worker.cc
+++ b/tests/lib/fake_worker.cc
@@ -23,19 +23,45 @@
 
 }  // namespace
 
-void RunLedger::Started(const std::string& task) {
+void RunLedger::Started(const std::string& task, const std::string& run) {
   const std::lock_guard lock(mutex_);
   ++starts_;
   ++running_;
   ++starts_by_job_[JobOf(task)];
   if (++open_[task] > 1) ++doubled_;
+  Note(task, run, open_[task] > 1 ? "started beside another run" : "started");
 }
 
-void RunLedger::Ended(const std::string& task, bool is_done) {
+void RunLedger::Ended(const std::string& task, const std::string& run,
+                      const std::string& how) {
   const std::lock_guard lock(mutex_);
   --running_;
   --open_[task];
-  if (is_done) done_by_job_[JobOf(task)].insert(task);
+  if (how == "failed") ++failed_by_job_[JobOf(task)][task];
+  if (how == "done") done_by_job_[JobOf(task)].insert(task);
+  Note(task, run, how);
+}
+
+void RunLedger::Note(const std::string& task, const std::string& run,
+                     const std::string& what) {
+  const auto now = std::chrono::duration_cast<Millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+  history_by_job_[JobOf(task)] +=
+      std::to_string(now.count()) + " " + task + " " + run + " " + what + "\n";
+}
+
+int RunLedger::failed_of(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  int most = 0;
+  for (const auto& [task, count] : failed_by_job_[job]) {
+    most = std::max(most, count);
+  }
+  return most;
+}
+
+std::string RunLedger::HistoryOf(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  return history_by_job_[job];
 }
 
 int RunLedger::starts_of(const std::string& job) {
@@ -115,12 +141,16 @@
       std::max(lease_, std::min(body.at("deadlineMs").get<int64_t>(), most));
 }
 
+std::string FakeWorker::RunName(const Key& key) const {
+  return std::to_string(key.second) + "@" + id_;
+}
+
 void FakeWorker::End(const Key& key, const char* how) {
   ended_.push_back({next_end_++, key.first, key.second, how, ""});
   uint32_t& highest = highest_[key.first];
   highest = std::max(highest, key.second);
   running_.erase(key);
-  ledger_->Ended(key.first, std::string_view(how) == "done");
+  ledger_->Ended(key.first, RunName(key), how);
 }
 
 void FakeWorker::Settle() {
@@ -157,7 +187,7 @@
   const Millis length(std::stoll(body.at("spec").get<std::string>()));
   running_[key] = {Clock::now() + length};
   ++starts_;
-  ledger_->Started(key.first);
+  ledger_->Started(key.first, RunName(key));
   changed_.notify_all();
   return Answer(200, json::object());
 }
--- a/tests/lib/fake_worker.h
+++ b/tests/lib/fake_worker.h
@@ -25,21 +25,32 @@
 // What all fake workers of a test started, and what they saw go wrong.
 class RunLedger {
  public:
-  void Started(const std::string& task);
-  void Ended(const std::string& task, bool is_done);
+  // `run` names the task's attempt and the worker, for the history only.
+  void Started(const std::string& task, const std::string& run);
+  void Ended(const std::string& task, const std::string& run,
+             const std::string& how);
   // Of the tasks of a job.
   int starts_of(const std::string& job);
   int done_of(const std::string& job);
+  // The most failures of one task.
+  int failed_of(const std::string& job);
+  // What happened to the tasks of a job, a line each.
+  std::string HistoryOf(const std::string& job);
   // Tasks that had two runs at a time.
   int doubled() const { return doubled_; }
   int starts() const { return starts_; }
   int running() const { return running_; }
 
  private:
+  void Note(const std::string& task, const std::string& run,
+            const std::string& what);
+
   std::mutex mutex_;
   std::map<std::string, int> open_;
   std::map<std::string, int> starts_by_job_;
   std::map<std::string, std::set<std::string>> done_by_job_;
+  std::map<std::string, std::map<std::string, int>> failed_by_job_;
+  std::map<std::string, std::string> history_by_job_;
   std::atomic<int> doubled_{0};
   std::atomic<int> starts_{0};
   std::atomic<int> running_{0};
@@ -74,6 +85,7 @@
   // Ends what is over. With the lock held.
   void Settle();
   void End(const Key& key, const char* how);
+  std::string RunName(const Key& key) const;
   int64_t ClockNow() const;
   void Announce();
   void Watch();
--- a/tests/lib/held_cluster.cc
+++ b/tests/lib/held_cluster.cc
@@ -53,11 +53,17 @@
 HeldCluster::~HeldCluster() {
   entries_.clear();
   guards_.clear();
+  if (keeps_logs_) return;
   std::error_code error;
   std::filesystem::remove_all(directory_, error);
   if (error) std::fprintf(stderr, "%s stays\n", directory_.c_str());
 }
 
+const std::string& HeldCluster::KeepLogs() {
+  keeps_logs_ = true;
+  return directory_;
+}
+
 bool HeldCluster::WaitReady() {
   for (size_t i = 0; i < entries_.size(); ++i) {
     const bool is_ready = WaitUntil([&] {
@@ -97,7 +103,7 @@
       << more;
   return Process::Start(
       {Cluster::ProgramPath("quetzalspindled"), "--config", SettingsPath(name)},
-      directory_ + "/" + name + ".log");
+      directory_ + "/" + name + "." + std::to_string(++started_) + ".log");
 }
 
 void HeldCluster::StartGuard(int i) {
--- a/tests/lib/held_cluster.h
+++ b/tests/lib/held_cluster.h
@@ -26,6 +26,9 @@
   HeldCluster(const HeldCluster&) = delete;
   HeldCluster& operator=(const HeldCluster&) = delete;
 
+  // Leaves the logs of the processes behind and returns where they are.
+  const std::string& KeepLogs();
+
   // Whether every entry came to serve a job.
   bool WaitReady();
 
@@ -68,6 +71,8 @@
 
   std::string net_;
   std::string directory_;
+  bool keeps_logs_ = false;
+  int started_ = 0;  // Processes; each has a log of its own.
   std::atomic<uint64_t> next_id_{0};
   RunLedger ledger_;
   std::unique_ptr<FakeKv> kv_;
--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -25,6 +25,7 @@
 using qs::test::HeldCluster;
 
 constexpr int kEntries = 2;
+constexpr int kMaxAttempts = 3;  // Of the queues of HeldCluster.
 // What the callers of the platform wait before they send a job again.
 constexpr Millis kSendAgainAfter{1300};
 constexpr Millis kPatience{6000};
@@ -74,6 +75,7 @@
       std::printf("%s: %d violations\n", promise.c_str(), count);
       held = held && count == 0;
     }
+    if (!held) std::printf("logs: %s\n", cluster_->KeepLogs().c_str());
     return held;
   }
 
@@ -81,7 +83,8 @@
   void Break(const char* promise, const std::string& id, int status) {
     const std::lock_guard lock(mutex_);
     ++violations_[promise];
-    std::printf("%s: job %s, status %d\n", promise, id.c_str(), status);
+    std::printf("%s: job %s, status %d\n%s", promise, id.c_str(), status,
+                cluster_->ledger().HistoryOf(id).c_str());
   }
 
   // Hands in one job after another. One without an answer goes to any entry
@@ -93,8 +96,8 @@
       const int tasks = 1 + static_cast<int>(random() % 4);
       const Millis run_time(5 + random() % 300);
       bool was_sent_before = false;
-      int status = 0;
-      for (int attempt = 0; attempt < 3 && status == 0; ++attempt) {
+      HeldCluster::Answer answer;
+      for (int attempt = 0; attempt < 3 && answer.status == 0; ++attempt) {
         if (attempt > 0) std::this_thread::sleep_for(kSendAgainAfter);
         // Some callers leave early, and some of these come back.
         const bool leaves = random() % 12 == 0;
@@ -102,29 +105,34 @@
             leaves ? Millis(20 + random() % 300) : kPatience;
         was_sent_before = attempt > 0;
         const Instant sent = Clock::now();
-        status = cluster_
-                     ->HandIn(static_cast<int>(random() % kEntries), id, tasks,
-                              run_time, "/q/", patience)
-                     .status;
+        answer = cluster_->HandIn(static_cast<int>(random() % kEntries), id,
+                                  tasks, run_time, "/q/", patience);
         if (Clock::now() - sent > patience + kPatienceSlack) {
-          Break("callers are answered in time or cut off", id, status);
+          Break("callers are answered in time or cut off", id, answer.status);
         }
       }
-      Judge(id, tasks, status, was_sent_before);
+      Judge(id, tasks, answer, was_sent_before);
       std::this_thread::sleep_for(Millis(random() % 40));
     }
   }
 
-  void Judge(const std::string& id, int tasks, int status,
-             bool was_sent_before) {
+  void Judge(const std::string& id, int tasks,
+             const HeldCluster::Answer& answer, bool was_sent_before) {
+    const int status = answer.status;
+    const bool is_complete =
+        status == 200 && answer.body.find("completed") != std::string::npos;
     {
       const std::lock_guard lock(mutex_);
       ++answers_[status];
     }
     qs::test::RunLedger& ledger = cluster_->ledger();
-    if (status == 200 && ledger.done_of(id) != tasks) {
+    if (is_complete && ledger.done_of(id) != tasks) {
       Break("complete when every task is done", id, status);
     }
+    // The other answer of that status tells that some task failed too often.
+    if (status == 200 && !is_complete && ledger.failed_of(id) < kMaxAttempts) {
+      Break("failed when a task failed too often", id, status);
+    }
     // Of a job that was sent once, a refusal says that nothing ran or will.
     const bool is_refused = status == 503 || status == 429;
     if (is_refused && !was_sent_before) {
@@ -274,6 +282,7 @@
   std::map<std::string, int> violations_ = {
       {"one run of a task at a time", 0},
       {"complete when every task is done", 0},
+      {"failed when a task failed too often", 0},
       {"a refusal says that nothing ran", 0},
       {"callers are answered in time or cut off", 0},
       {"a planned stop ends in its grace time", 0},
