Turn requests away at the door while the process itself is slow

Cause: the two entries of 0.12 cores in the zone hlohovec of the grown order desk collapsed when their processor ran short and did not recover afterwards: requests waited unseen between the HTTP threads and the desk, were admitted as if they had just come, and ended after their callers had left; reports were handled late, so that guards stopped runs (home_silent); then came the next ones.

Ruled out: the guards and the store (other zones were served), memory (26 MB).

Change: IntakeGate counts what waits for the desk and refuses at once, before a request is decoded, while the last wait or the predicted one exceeds 50 ms; a job's clock starts when its request was read.

--- a/src/daemon/job_front.cc
+++ b/src/daemon/job_front.cc
@@ -87,17 +87,27 @@
                                 const QueueDeclaration& queue,
                                 const std::string& id,
                                 const HttpRequest& request) {
+  const Instant received = Clock::now();
+  if (!gate_.TryEnter()) {
+    return Refuse(Reason::kEntryOverloaded, id,
+                  "last wait " + std::to_string(gate_.last_wait().count()) +
+                      " ms, waiting " + std::to_string(gate_.waiting()));
+  }
+  // Where the request does not get as far as the desk.
+  const auto refuse = [&](Reason reason, const std::string& detail) {
+    gate_.OnLeft();
+    return Refuse(reason, id, detail);
+  };
   if (request.body.size() > catalog.max_body_bytes) {
-    return Refuse(Reason::kBodyTooLarge, id,
-                  std::to_string(request.body.size()));
+    return refuse(Reason::kBodyTooLarge, std::to_string(request.body.size()));
   }
   const CallerProtocol& protocol = kernel_->deployment->callers();
   Checked<HeldJob> job =
       protocol.DecodeJob(id, request, queue.default_patience);
   if (!job) {
-    return Refuse(Reason::kMalformedRequest, id, job.error().ToText());
+    return refuse(Reason::kMalformedRequest, job.error().ToText());
   }
-  if (job->is_unsupported) return Refuse(Reason::kNotSupported, id, queue.name);
+  if (job->is_unsupported) return refuse(Reason::kNotSupported, queue.name);
   job->queue = queue.name;
   const uint64_t caller = next_caller_++;
   auto promise = std::make_shared<std::promise<HeldAnswer>>();
@@ -107,10 +117,13 @@
     waiting_[caller] = promise;
   }
   watch_.Add(caller, request.socket);
-  asio::post(kernel_->io, [this, caller, j = std::move(*job)]() mutable {
-    desk_->OnJob(caller, std::move(j), Clock::now());
-    on_job_();
-  });
+  asio::post(kernel_->io,
+             [this, caller, received, j = std::move(*job)]() mutable {
+               const Instant now = Clock::now();
+               gate_.OnTaken(received, now);
+               desk_->OnJob(caller, std::move(j), received, now);
+               on_job_();
+             });
   const HeldAnswer result = answer.get();
   watch_.Remove(caller);
   return protocol.EncodeAnswer(result);
--- a/src/daemon/job_front.h
+++ b/src/daemon/job_front.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "base/rcu_cell.h"
+#include "held/intake_gate.h"
 #include "http/http_server.h"
 #include "http/peer_watch.h"
 #include "kernel/kernel.h"
@@ -58,6 +59,7 @@
   std::function<void()> on_job_;
   RcuCell<CatalogPointer> catalog_;
   PeerWatch watch_;
+  IntakeGate gate_{IntakeGateOptions()};
   std::atomic<uint64_t> next_caller_{1};
   std::atomic<int> in_progress_{0};
   std::atomic<bool> is_stopping_{false};
--- /dev/null
+++ b/src/held/intake_gate.cc
@@ -0,0 +1,34 @@
+#include "held/intake_gate.h"
+
+namespace qs {
+namespace {
+
+// The mean covers about so many requests; they come in clusters.
+constexpr int64_t kPaceSamples = 8;
+
+}  // namespace
+
+bool IntakeGate::TryEnter() {
+  const int before = waiting_++;
+  const std::chrono::microseconds predicted(before * pace_us_.load());
+  const bool is_slow =
+      last_wait() > options_.longest_wait || predicted > options_.longest_wait;
+  const bool is_full = before >= options_.most_waiting ||
+                       (is_slow && before >= options_.few_waiting);
+  if (is_full) --waiting_;
+  return !is_full;
+}
+
+void IntakeGate::OnTaken(Instant received, Instant now) {
+  last_wait_ = Elapsed(received, now).count();
+  if (was_busy_) {
+    const int64_t pace =
+        std::chrono::duration_cast<std::chrono::microseconds>(now - last_taken_)
+            .count();
+    pace_us_ = pace_us_ + (pace - pace_us_) / kPaceSamples;
+  }
+  last_taken_ = now;
+  was_busy_ = --waiting_ > 0;
+}
+
+}  // namespace qs
--- /dev/null
+++ b/src/held/intake_gate.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+#include "quetzalspindle/time.h"
+
+namespace qs {
+
+struct IntakeGateOptions {
+  // Longest wait of a request between being read and being judged. Below the
+  // smallest latency target that the users' queues declare, 60 ms.
+  Millis longest_wait{50};
+  // So few waiting requests are gone at once, whatever the last wait was.
+  int few_waiting = 4;
+  // However fast they went before: the process may stand still.
+  int most_waiting = 100;
+};
+
+// Turns requests away at the door while the process itself is what callers wait
+// for: those that got in would be judged, placed and answered too late, and
+// would keep it from those that come next. Calls may come from any thread but
+// where said otherwise.
+class IntakeGate {
+ public:
+  explicit IntakeGate(const IntakeGateOptions& options) : options_(options) {}
+
+  // Counts a request that was just read, unless it is to be refused at once.
+  // One that got in is followed by OnTaken or OnLeft.
+  bool TryEnter();
+  // A request that was read at `received` is being judged. For one thread.
+  void OnTaken(Instant received, Instant now);
+  // A request that got in is not judged at all.
+  void OnLeft() { --waiting_; }
+
+  int waiting() const { return waiting_; }
+  Millis last_wait() const { return Millis(last_wait_.load()); }
+
+ private:
+  IntakeGateOptions options_;
+  std::atomic<int> waiting_{0};
+  std::atomic<Millis::rep> last_wait_{0};
+  // Mean time from one request to the next while some wait.
+  std::atomic<int64_t> pace_us_{0};
+  Instant last_taken_;
+  bool was_busy_ = false;  // Others waited when the last one was taken.
+};
+
+}  // namespace qs
--- a/src/held/job_desk.cc
+++ b/src/held/job_desk.cc
@@ -72,7 +72,8 @@
   }
 }
 
-void JobDesk::OnJob(uint64_t caller, HeldJob job, Instant now) {
+void JobDesk::OnJob(uint64_t caller, HeldJob job, Instant received,
+                    Instant now) {
   const auto same = job_by_id_.find(job.id);
   if (same != job_by_id_.end()) {
     // The same job again: its caller lost the connection and came back here.
@@ -92,19 +93,20 @@
     return;
   }
   Millis retry_after{0};
-  const Reason refusal = Refusal(*queue, job, now, &retry_after);
+  const Reason refusal = Refusal(*queue, job, received, now, &retry_after);
   if (refusal == Reason::kConstraintUnmet) {
     AnswerCaller(caller, job.id, {HeldState::kFailed, refusal, Millis(0)});
   } else if (refusal != Reason::kNone) {
     AnswerCaller(caller, job.id, {HeldState::kRefused, refusal, retry_after});
   } else {
-    Admit(caller, *queue, std::move(job), now);
+    Admit(caller, *queue, std::move(job), received);
     Dispatch(now);
   }
 }
 
 Reason JobDesk::Refusal(const QueueDeclaration& queue, const HeldJob& job,
-                        Instant now, Millis* retry_after) const {
+                        Instant received, Instant now,
+                        Millis* retry_after) const {
   const Millis chain = ChainEstimate(job);
   if (is_stopping_ && now + kEstimateFactor * chain > finish_by_) {
     *retry_after = kRestartRetry;
@@ -115,7 +117,7 @@
     return Reason::kEntryOverloaded;
   }
   if (IsImpossible(queue.service, job, now)) return Reason::kConstraintUnmet;
-  const Millis objective = ObjectiveOf(queue, chain);
+  const Millis objective = Until(now, received + ObjectiveOf(queue, chain));
   AdmissionInput input;
   input.serving_cpu = workers_.ServingCpu(queue.service, now);
   input.chain = chain;
@@ -162,7 +164,7 @@
 }
 
 void JobDesk::Admit(uint64_t caller, const QueueDeclaration& queue,
-                    HeldJob spec, Instant now) {
+                    HeldJob spec, Instant received) {
   const uint64_t number = next_job_++;
   Job& job = jobs_[number];
   job.number = number;
@@ -170,13 +172,13 @@
   job.service = queue.service;
   job.max_attempts = std::max<uint32_t>(queue.max_attempts, 1);
   job.priority = queue.priority;
-  job.arrived = now;
+  job.arrived = received;
   job.chain = ChainEstimate(spec);
   const Millis objective = ObjectiveOf(queue, job.chain);
-  job.on_time_by = now + objective;
-  job.patient_until = now + spec.patience;
-  job.useful_by =
-      now + std::min(objective * options_.useful_objectives, spec.patience);
+  job.on_time_by = received + objective;
+  job.patient_until = received + spec.patience;
+  job.useful_by = received + std::min(objective * options_.useful_objectives,
+                                      spec.patience);
   job.job = std::move(spec);
   for (uint32_t step = 0; step < job.job.steps.size(); ++step) {
     const uint32_t count = job.job.steps[step].tasks;
--- a/src/held/job_desk.h
+++ b/src/held/job_desk.h
@@ -62,7 +62,9 @@
           uint32_t seed, Instant now);
 
   void SetCatalog(std::shared_ptr<const Catalog> catalog, Instant now);
-  void OnJob(uint64_t caller, HeldJob job, Instant now);
+  // The request was read at `received`; what it waited since is a part of the
+  // caller's wait.
+  void OnJob(uint64_t caller, HeldJob job, Instant received, Instant now);
   // The caller closed its connection.
   void OnCallerLeft(uint64_t caller, Instant now);
 
@@ -141,9 +143,9 @@
   };
 
   void Admit(uint64_t caller, const QueueDeclaration& queue, HeldJob job,
-             Instant now);
-  Reason Refusal(const QueueDeclaration& queue, const HeldJob& job, Instant now,
-                 Millis* retry_after) const;
+             Instant received);
+  Reason Refusal(const QueueDeclaration& queue, const HeldJob& job,
+                 Instant received, Instant now, Millis* retry_after) const;
   bool IsImpossible(const std::string& service, const HeldJob& job,
                     Instant now) const;
   void AnswerCaller(uint64_t caller, const std::string& id, HeldAnswer answer);
--- a/tests/held_property_test.cc
+++ b/tests/held_property_test.cc
@@ -480,7 +480,7 @@
     HeldJob job =
         MakeJob(id, 1 + static_cast<uint32_t>(id.size() % 3), 4000, 100);
     job.patience = Millis(caller->give_up_at - now_);
-    entry.desk->OnJob(caller->number, std::move(job), Now());
+    entry.desk->OnJob(caller->number, std::move(job), Now(), Now());
   }
 
   void Leave(Caller* caller) {
--- a/tests/job_desk_test.cc
+++ b/tests/job_desk_test.cc
@@ -40,7 +40,7 @@
   }
 
   void Submit(uint64_t caller, HeldJob job, int64_t ms) {
-    desk_.OnJob(caller, std::move(job), At(ms));
+    desk_.OnJob(caller, std::move(job), At(ms), At(ms));
     Take(ms);
   }
 
@@ -167,6 +167,18 @@
   EXPECT_EQ(answers_[2].state, HeldState::kComplete);
 }
 
+// The process itself was slow: what a request waited in it is a part of the
+// caller's wait, and none of its slack is left.
+TEST_F(JobDeskTest, AJobThatWaitedInTheProcessForItsSlackIsRefused) {
+  Up(kGuardA, 0);
+  desk_.OnReport(kGuardA, MakeReport(2, 32'000), At(9));
+  desk_.OnJob(2, MakeJob("fresh", 4), At(20), At(20));
+  desk_.OnJob(3, MakeJob("stale", 1), At(20), At(240));
+  Take(240);
+  ASSERT_TRUE(answers_.contains(3));
+  EXPECT_EQ(answers_[3].reason, Reason::kWouldEndTooLate);
+}
+
 // Rolling stops: callers keep coming for as long as other entries stop too.
 TEST_F(JobDeskTest, AStoppingDeskTakesWhatEndsInTimeAtTwiceItsEstimate) {
   Up(kGuardA, 0);
