--- a/src/daemon/config_agent.cc
+++ b/src/daemon/config_agent.cc
@@ -60,12 +60,18 @@
     on_config_(*source_.initial);
   }
   // From the revision of the read on, so that nothing falls between.
-  (void)store_->Watch(
+  const std::error_code ended = store_->Watch(
       source_.key, range->revision + 1,
       [this](const StoreEntry& changed) {
         if (changed.key == source_.key) Deliver(changed);
       },
       [this] { return !stopped_; });
+  if (!ended) return;
+  // The history is gone, or the store; the next read tells which.
+  Log(LogLevel::kInfo, "watch_ended",
+      {{"key", source_.key},
+       {"from_revision", std::to_string(range->revision + 1)},
+       {"error", ended.message()}});
 }
 
 void ConfigAgent::Deliver(const StoreEntry& entry) {
--- a/src/daemon/platform_agent.cc
+++ b/src/daemon/platform_agent.cc
@@ -62,13 +62,7 @@
 
 void PlatformAgent::Renew() {
   const Result<bool> stands = store_->KeepLease(lease_);
-  if (stands.has_value() != was_reachable_) {
-    was_reachable_ = stands.has_value();
-    Log(was_reachable_ ? LogLevel::kInfo : LogLevel::kWarn,
-        was_reachable_ ? "registry_regained" : "registry_lost",
-        {{"lease", std::to_string(lease_)},
-         {"error", stands ? "" : stands.error().message()}});
-  }
+  NoteCall(stands ? std::error_code() : stands.error());
   if (!stands || *stands) return;
   const int64_t ended = lease_;
   const bool is_back = Register();
@@ -77,9 +71,21 @@
        {"registered_again", is_back ? "yes" : "no"}});
 }
 
+// One line for each lost or regained registry, not for each call.
+void PlatformAgent::NoteCall(std::error_code error) {
+  const bool is_reachable = !error;
+  if (is_reachable == was_reachable_) return;
+  was_reachable_ = is_reachable;
+  Log(is_reachable ? LogLevel::kInfo : LogLevel::kWarn,
+      is_reachable ? "registry_regained" : "registry_lost",
+      {{"lease", std::to_string(lease_)}, {"error", error.message()}});
+}
+
 bool PlatformAgent::Register() {
   const Result<int64_t> lease = store_->GrantLease(options_.lease);
+  // A store without leases keeps the entry for good.
   if (!lease && lease.error() != std::errc::operation_not_supported) {
+    NoteCall(lease.error());
     return false;
   }
   const nlohmann::json value = {
@@ -88,6 +94,7 @@
   const std::error_code error =
       store_->Put(kMemberPrefix + options_.address.ToString(), value.dump(),
                   lease.value_or(0));
+  NoteCall(error);
   if (error) return false;
   lease_ = lease.value_or(0);
   return true;
@@ -95,6 +102,7 @@
 
 bool PlatformAgent::ReadMembers() {
   const Result<StoreRange> range = store_->ReadPrefix(kMemberPrefix);
+  NoteCall(range ? std::error_code() : range.error());
   if (!range) return false;
   std::vector<Address> members;
   const size_t prefix_size = std::string(kMemberPrefix).size();
--- a/src/daemon/platform_agent.h
+++ b/src/daemon/platform_agent.h
@@ -49,6 +49,7 @@
   bool Register();
   // Renews the lease, and registers again where it has ended.
   void Renew();
+  void NoteCall(std::error_code error);
   bool ReadMembers();
   // Returns false when the agent shall end.
   bool Wait(Millis duration);
