--- a/src/held/run_keeper.cc
+++ b/src/held/run_keeper.cc
@@ -30,8 +30,6 @@
 constexpr int kMinSamples = 3;
 // Tasks behind the head of the queue that may fill room it does not fit in.
 constexpr size_t kLookAhead = 4;
-constexpr uint64_t kFirstFenceStep = 3'600'000;  // One hour of milliseconds.
-constexpr uint32_t kMaxFenceDoublings = 20;      // Keeps tokens below 2^53.
 
 Reason ReasonOf(WorkerVerdict verdict) {
   switch (verdict) {
@@ -80,6 +78,7 @@
       hold_not_before_(now),
       last_answer_(now - options.silent_after),
       last_renewal_(now),
+      clock_(options.longest_lease),
       health_(options.health) {}
 
 // The worker.
@@ -105,7 +104,7 @@
   const bool began_draining = announcement.is_draining && !worker_->is_draining;
   if (!HasSameOffer(announcement, *worker_)) ++offer_version_;
   worker_ = announcement;
-  NoteClock(announcement.worker_clock, now);
+  clock_.Note(announcement.worker_clock, now);
   if (began_draining) {
     log_->Note("worker_draining", {{"worker", worker_->life.id},
                                    {"sequence", Text(worker_->sequence)},
@@ -120,16 +119,16 @@
   worker_ = announcement;
   ++offer_version_;
   last_seen_ = 0;
-  NoteClock(announcement.worker_clock, now);
+  clock_.Note(announcement.worker_clock, now);
   hold_not_before_ = now;
   last_answer_ = now;
   health_ = WorkerHealth(options_.health);
   // A late order of the former life must not reach the new one.
-  ++fence_;
+  fence_.Raise();
   log_->Note("worker_up", {{"worker", worker_->life.id},
                            {"started_at", Text(worker_->life.started_at)},
                            {"service", worker_->service},
-                           {"fence", Text(fence_)}});
+                           {"fence", Text(fence_.value())}});
   MarkStale();
 }
 
@@ -145,41 +144,23 @@
   EndAll(reason);
   worker_.reset();
   ++offer_version_;
-  clock_.reset();
+  clock_.Forget();
   ++life_ticket_;
   hold_in_flight_ = false;
   look_in_flight_ = false;
   MarkStale();
 }
 
-void RunKeeper::NoteClock(const std::optional<Millis>& clock, Instant now) {
-  if (!clock) return;
-  const std::optional<Millis> estimate = WorkerNow(now);
-  // The latest answer may have been overtaken by an earlier one.
-  if (estimate && *clock + options_.longest_lease < *estimate) return;
-  clock_ = clock;
-  clock_at_ = now;
-}
-
-std::optional<Millis> RunKeeper::WorkerNow(Instant now) const {
-  if (!clock_) return std::nullopt;
-  return *clock_ + Elapsed(clock_at_, now);
-}
-
 std::optional<Millis> RunKeeper::LeaseDeadline(Instant now) const {
-  const std::optional<Millis> worker_now = WorkerNow(now);
+  const std::optional<Millis> worker_now = clock_.At(now);
   if (!worker_now) return std::nullopt;
   return *worker_now + options_.longest_lease;
 }
 
-// A former run of this guard used a higher token, as its clock was ahead. The
-// steps double until the worker accepts one.
 void RunKeeper::OnFenced(uint64_t refused_fence) {
-  if (refused_fence != fence_) return;
-  fence_ += kFirstFenceStep << std::min(fence_refusals_, kMaxFenceDoublings);
-  ++fence_refusals_;
-  log_->Note("fence_raised",
-             {{"refused", Text(refused_fence)}, {"fence", Text(fence_)}});
+  if (!fence_.OnRefused(refused_fence)) return;
+  log_->Note("fence_raised", {{"refused", Text(refused_fence)},
+                              {"fence", Text(fence_.value())}});
 }
 
 // Homes.
@@ -352,14 +333,14 @@
   last_renewal_ = now;
   actions_.emplace_back(MakeStart{
       run->key, life_ticket_,
-      StartCall{worker_->life, fence_, run->order.task, run->order.attempt,
-                run->order.payload, *run->start_deadline}});
+      StartCall{worker_->life, fence_.value(), run->order.task,
+                run->order.attempt, run->order.payload, *run->start_deadline}});
 }
 
 void RunKeeper::OnStartReply(const MakeStart& start, const WorkerReply& reply,
                              Instant now) {
   if (start.ticket != life_ticket_) return;
-  NoteClock(reply.worker_clock, now);
+  clock_.Note(reply.worker_clock, now);
   const auto found = runs_.find(start.key);
   if (found == runs_.end()) return;
   Run& run = found->second;
@@ -421,15 +402,15 @@
 
 void RunKeeper::CallStop(Run* run, Instant now) {
   run->stop_sent = now;
-  actions_.emplace_back(MakeStop{
-      life_ticket_,
-      StopCall{worker_->life, fence_, run->order.task, run->order.attempt}});
+  actions_.emplace_back(
+      MakeStop{life_ticket_, StopCall{worker_->life, fence_.value(),
+                                      run->order.task, run->order.attempt}});
 }
 
 void RunKeeper::OnStopReply(const MakeStop& stop, const WorkerReply& reply,
                             Instant now) {
   if (stop.ticket != life_ticket_) return;
-  NoteClock(reply.worker_clock, now);
+  clock_.Note(reply.worker_clock, now);
   if (reply.verdict != WorkerVerdict::kAccepted) return;
   const auto key = by_task_.find({stop.call.task, stop.call.attempt});
   if (key == by_task_.end()) return;
@@ -538,8 +519,8 @@
     LoseLife(Reason::kWorkerLost);
     return;
   }
-  NoteClock(reply.worker_clock, now);
-  fence_refusals_ = 0;
+  clock_.Note(reply.worker_clock, now);
+  fence_.OnAccepted();
   last_answer_ = now;
   hold_not_before_ = now;
   for (const HoldReply::Ended& ended : reply.ended) OnEnded(ended, now);
@@ -593,9 +574,9 @@
       // Ordered by a former run of this guard, or carried out late.
       log_->Note("foreign_run_stopped",
                  {{"task", row.task}, {"attempt", Text(row.attempt)}});
-      actions_.emplace_back(
-          MakeStop{life_ticket_,
-                   StopCall{worker_->life, fence_, row.task, row.attempt}});
+      actions_.emplace_back(MakeStop{
+          life_ticket_,
+          StopCall{worker_->life, fence_.value(), row.task, row.attempt}});
       continue;
     }
     Run& run = runs_.at(key->second);
@@ -852,7 +833,7 @@
 }
 
 HoldCall RunKeeper::NextHold(Millis wait, Instant now) {
-  HoldCall call{worker_->life, fence_, last_seen_, std::nullopt, wait};
+  HoldCall call{worker_->life, fence_.value(), last_seen_, std::nullopt, wait};
   // A call that is carried out late would renew what was given up.
   const bool is_silent = now - last_answer_ > options_.renew_until;
   if (is_silent) call.wait = Millis(0);
--- a/src/held/run_keeper.h
+++ b/src/held/run_keeper.h
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "held/fencing_token.h"
+#include "held/worker_clock.h"
 #include "held/worker_health.h"
 #include "quetzalspindle/ids.h"
 #include "quetzalspindle/worker_protocol.h"
@@ -177,8 +179,6 @@
   void ForgetMissing(const HoldReply& reply, Instant sent, Instant now);
   void BeginLife(const WorkerAnnouncement& announcement, Instant now);
   void LoseLife(Reason reason);
-  void NoteClock(const std::optional<Millis>& clock, Instant now);
-  std::optional<Millis> WorkerNow(Instant now) const;
   std::optional<Millis> LeaseDeadline(Instant now) const;
   void OnFenced(uint64_t refused_fence);
   HoldCall NextHold(Millis wait, Instant now);
@@ -195,8 +195,7 @@
   RunReport MakeReport(uint64_t session, HomeSession* home, Instant now) const;
 
   RunKeeperOptions options_;
-  uint64_t fence_;
-  uint32_t fence_refusals_ = 0;  // Since the last accepted token.
+  FencingToken fence_;
   DecisionLog* log_;
   Instant started_;
   std::optional<WorkerAnnouncement> worker_;
@@ -213,8 +212,7 @@
   Instant last_answer_;   // Of a hold.
   Instant last_renewal_;  // When a hold that renews was last sent.
   uint64_t last_seen_ = 0;
-  std::optional<Millis> clock_;  // The worker's, as of clock_at_.
-  Instant clock_at_;
+  WorkerClock clock_;
   WorkerHealth health_;
   Instant room_refused_until_;
   Resources used_;
