--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -95,10 +95,7 @@
 }  // namespace
 
 void InitLog(const std::string& level, const std::string& process) {
-  // Never shut down: every line is flushed, and the library's shutdown waits
-  // for threads of its own, which may outlast the time that a stop has.
-  static const auto* const initializer = new log4cplus::Initializer;
-  (void)initializer;
+  static const log4cplus::Initializer initializer;
   std::istringstream properties(
       "log4cplus.rootLogger=" + level +
       ", out\n"
--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -47,6 +47,7 @@
 
   void Run() {
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<size_t>(callers_));
     for (int i = 0; i < callers_; ++i) {
       threads.emplace_back([this, i] { Caller(i); });
     }
