--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -67,19 +67,17 @@
 
 void WorkerTable::TakeReport(WorkerEntry* entry, const RunReport& report) {
   RunReport& known = entry->report;
+  RunReport whole = report;
+  whole.ends.clear();
   if (!report.has_offer) {
     // What it offers is as the last report on this connection said.
-    RunReport whole = report;
     whole.service = std::move(known.service);
     whole.rack = std::move(known.rack);
     whole.labels = std::move(known.labels);
     whole.capacity = known.capacity;
     whole.zone = std::move(known.zone);
-    known = std::move(whole);
-  } else {
-    known = report;
   }
-  known.ends.clear();
+  known = std::move(whole);
 }
 
 void WorkerTable::OnOrdered(WorkerEntry* entry, const RunOrder& order) {
