Log what the end or the release of a run was concluded from

An entry wrote task_retried reason=worker_lost alike for a release by time, by a report and by a settled guard; a guard wrote neither the stops without an answer nor the lease that it had asked for. No logic changes.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -489,7 +489,18 @@
   OutgoingTo(run.guard)->stops.push_back(number);
 }
 
-void JobScheduler::ReleaseRun(uint64_t number, Instant now) {
+void JobScheduler::ReleaseRun(uint64_t number, std::string_view evidence,
+                              Instant now) {
+  const Run& run = runs_.at(number);
+  const WorkerRecord* record = workers_.Find(run.guard);
+  log_->Record(
+      "run_released",
+      {{"job", run.job_id},
+       {"run", Text(number)},
+       {"guard", record != nullptr ? record->address.ToString() : "unknown"},
+       {"evidence", std::string(evidence)},
+       {"orphan_age_ms",
+        run.is_orphan ? Text(Elapsed(run.orphaned_at, now)) : "none"}});
   OnRunEnd(number, {number, RunOutcome::kLost, Reason::kWorkerLost, Millis(0)},
            now);
 }
@@ -610,6 +621,7 @@
     Run& run = runs_.at(number);
     if (run.is_orphan) continue;
     run.is_orphan = true;
+    run.orphaned_at = now;
     run.release_at = release_at;
     ++count;
   }
@@ -630,21 +642,27 @@
   if (record == nullptr || !record->is_connected) return;
   workers_.OnReport(record, report, now);
   for (const RunEnd& end : report.ends) OnRunEnd(end.number, end, now);
-  std::vector<uint64_t> ended;
+  std::vector<uint64_t> earlier;
   if (report.earlier_runs == 0) {
     for (const uint64_t number : record->open_runs) {
-      if (runs_.at(number).is_orphan) ended.push_back(number);
+      if (runs_.at(number).is_orphan) earlier.push_back(number);
     }
   }
+  for (const uint64_t number : earlier) {
+    ReleaseRun(number, "no_earlier_runs", now);
+  }
+  std::vector<uint64_t> former_runs;
   if (report.is_settled) {
     // Nothing that an earlier incarnation of this guard started still executes.
     for (const auto& [other, former] : workers_.records()) {
       if (other == guard || former.address != record->address) continue;
-      ended.insert(ended.end(), former.open_runs.begin(),
-                   former.open_runs.end());
+      former_runs.insert(former_runs.end(), former.open_runs.begin(),
+                         former.open_runs.end());
     }
   }
-  for (const uint64_t number : ended) ReleaseRun(number, now);
+  for (const uint64_t number : former_runs) {
+    ReleaseRun(number, "settled_guard", now);
+  }
   if (!record->open_runs.empty()) OutgoingTo(guard);
   is_dispatch_due_ = true;
 }
@@ -688,7 +706,7 @@
   for (const auto& [number, run] : runs_) {
     if (run.is_orphan && now >= run.release_at) ended.push_back(number);
   }
-  for (const uint64_t number : ended) ReleaseRun(number, now);
+  for (const uint64_t number : ended) ReleaseRun(number, "lease_expired", now);
   std::erase_if(workers_.records(), [](const auto& item) {
     return !item.second.is_connected && item.second.open_runs.empty();
   });
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -168,7 +169,8 @@
     std::string job_id;
     bool is_stopped = false;  // A stop was sent.
     bool is_orphan = false;   // Its guard was disconnected or silent.
-    Instant release_at;       // All leases of an orphan have expired by then.
+    Instant orphaned_at;
+    Instant release_at;  // All leases of an orphan have expired by then.
   };
 
   void Admit(uint64_t caller, const QueueDeclaration& queue, HeldJob job,
@@ -202,7 +204,8 @@
   // that were last renewed at `since` have expired.
   void OrphanRuns(const WorkerRecord& record, Instant since, Instant now);
   // Handles a run that has ended without a report of its outcome as lost.
-  void ReleaseRun(uint64_t number, Instant now);
+  // `evidence` names what its end was concluded from, for the log.
+  void ReleaseRun(uint64_t number, std::string_view evidence, Instant now);
   // A run of a job that was answered has ended. A new job with the same id
   // starts after the last such run.
   void OnLeftoverRunEnd(const std::string& id, Instant now);
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -70,6 +70,13 @@
 
 }  // namespace
 
+std::string_view EndEvidenceName(EndEvidence evidence) {
+  static constexpr std::array<std::string_view, 7> kNames = {
+      "not_sent",        "start_refused", "end_listed",   "not_listed",
+      "deadline_passed", "worker_gone",   "lease_expired"};
+  return kNames.at(static_cast<size_t>(evidence));
+}
+
 std::string_view WorkerVerdictName(WorkerVerdict verdict) {
   static constexpr std::array<std::string_view, 10> kNames = {
       "accepted",  "fenced",     "stale_attempt", "too_late",    "no_room",
@@ -153,8 +160,9 @@
 // Called when no run of the current incarnation of the worker can still be
 // running.
 void RunSupervisor::EndIncarnation(Reason reason) {
-  EndAllRuns(reason);
+  EndAllRuns(reason, EndEvidence::kWorkerGone);
   worker_.reset();
+  lease_end_ = Millis(0);
   ++offer_version_;
   clock_.Reset();
   ++worker_generation_;
@@ -169,6 +177,15 @@
   return *worker_now + options_.longest_lease;
 }
 
+void RunSupervisor::NoteRenewal(Millis deadline, Instant now) {
+  last_renewal_ = now;
+  lease_end_ = std::max(lease_end_, deadline);
+}
+
+Millis RunSupervisor::LeaseLeft(Instant now) const {
+  return lease_end_ - clock_.At(now).value_or(Millis(0));
+}
+
 void RunSupervisor::OnFenced(uint64_t refused_fence) {
   if (!fence_.OnRefused(refused_fence)) return;
   log_->Record("fence_raised", {{"refused", Text(refused_fence)},
@@ -351,7 +368,7 @@
   run->start_deadline = deadline.value_or(Millis(0));
   run->start_sent_at = now;
   ++run->start_calls;
-  last_renewal_ = now;
+  NoteRenewal(*run->start_deadline, now);
   actions_.emplace_back(SendStart{
       run->key, worker_generation_,
       StartCall{worker_->incarnation, fence_.value(), run->order.task,
@@ -406,8 +423,8 @@
   } else {
     health_.OnInconclusive();
   }
-  EndRun(start.key, RunOutcome::kNotStarted, ReasonOf(reply.verdict),
-         Millis(0));
+  EndRun(start.key, RunOutcome::kNotStarted, ReasonOf(reply.verdict), Millis(0),
+         EndEvidence::kStartRefused);
   StartReady(now);
 }
 
@@ -415,17 +432,29 @@
 
 void RunSupervisor::StopRun(Run* run, Reason reason, Instant now) {
   if (run->phase == Phase::kQueued) {
-    EndRun(run->key, RunOutcome::kNotStarted, reason, Millis(0));
+    EndRun(run->key, RunOutcome::kNotStarted, reason, Millis(0),
+           EndEvidence::kNotSent);
     return;
   }
   if (run->phase == Phase::kStopping) return;
   run->phase = Phase::kStopping;
   run->stop_reason = reason;
+  run->stop_began_at = now;
   CallStop(run, now);
 }
 
 void RunSupervisor::CallStop(Run* run, Instant now) {
   run->stop_sent_at = now;
+  ++run->stop_calls;
+  if (run->stop_calls > 1) {
+    log_->Record("stop_unanswered",
+                 {{"task", run->order.task},
+                  {"attempt", Text(run->order.attempt)},
+                  {"reason", std::string(ReasonName(run->stop_reason))},
+                  {"stop_age_ms", Text(Elapsed(run->stop_began_at, now))},
+                  {"calls", Text(run->stop_calls)},
+                  {"lease_left_ms", Text(LeaseLeft(now))}});
+  }
   actions_.emplace_back(SendStop{
       worker_generation_, StopCall{worker_->incarnation, fence_.value(),
                                    run->order.task, run->order.attempt}});
@@ -455,14 +484,16 @@
   log_->Record("home_runs_stopped",
                {{"home", Text(home.value)},
                 {"runs", Text(keys.size())},
-                {"reason", std::string(ReasonName(reason))}});
+                {"reason", std::string(ReasonName(reason))},
+                {"lease_left_ms", Text(LeaseLeft(now))}});
   for (const RunKey& key : keys) StopRun(&runs_.at(key), reason, now);
 }
 
 void RunSupervisor::EndQueuedRuns(Reason reason) {
   const std::vector<RunKey> queued = queue_;
   for (const RunKey& key : queued) {
-    EndRun(key, RunOutcome::kNotStarted, reason, Millis(0));
+    EndRun(key, RunOutcome::kNotStarted, reason, Millis(0),
+           EndEvidence::kNotSent);
   }
 }
 
@@ -471,7 +502,7 @@
 // Takes the key by value, because callers pass a reference into the maps that
 // this function erases from.
 void RunSupervisor::EndRun(RunKey key, RunOutcome outcome, Reason reason,
-                           Millis run_time) {
+                           Millis run_time, EndEvidence evidence) {
   const auto found = runs_.find(key);
   assert(found != runs_.end());
   const Run& run = found->second;
@@ -493,19 +524,23 @@
                   {"attempt", Text(run.order.attempt)},
                   {"outcome", std::string(RunOutcomeName(outcome))},
                   {"reason", std::string(ReasonName(reason))},
-                  {"run_ms", Text(run_time)}});
+                  {"run_ms", Text(run_time)},
+                  {"evidence", std::string(EndEvidenceName(evidence))},
+                  {"start_calls", Text(run.start_calls)},
+                  {"stop_calls", Text(run.stop_calls)},
+                  {"stop_confirmed", run.stop_confirmed ? "yes" : "no"}});
   }
   runs_.erase(found);
   MarkLoadChanged();
 }
 
-void RunSupervisor::EndAllRuns(Reason reason) {
+void RunSupervisor::EndAllRuns(Reason reason, EndEvidence evidence) {
   while (!runs_.empty()) {
     const Run& run = runs_.begin()->second;
     const bool has_started = run.phase == Phase::kRunning ||
                              run.may_have_started || run.start_calls > 0;
     EndRun(run.key, has_started ? RunOutcome::kLost : RunOutcome::kNotStarted,
-           has_started ? reason : Reason::kBackendAbsent, Millis(0));
+           has_started ? reason : Reason::kBackendAbsent, Millis(0), evidence);
   }
 }
 
@@ -573,12 +608,13 @@
   switch (ended.ending) {
     case RunEnding::kDone:
       health_.OnDone(run_time, run.order.estimate);
-      EndRun(key->second, RunOutcome::kDone, Reason::kNone, run_time);
+      EndRun(key->second, RunOutcome::kDone, Reason::kNone, run_time,
+             EndEvidence::kEndListed);
       return;
     case RunEnding::kFailed:
       health_.OnFailed(now);
-      EndRun(key->second, RunOutcome::kFailed, Reason::kBackendFailed,
-             run_time);
+      EndRun(key->second, RunOutcome::kFailed, Reason::kBackendFailed, run_time,
+             EndEvidence::kEndListed);
       return;
     case RunEnding::kInterrupted:
       break;
@@ -591,7 +627,8 @@
   } else {
     health_.OnInconclusive();
   }
-  EndRun(key->second, RunOutcome::kLost, reason, run_time);
+  EndRun(key->second, RunOutcome::kLost, reason, run_time,
+         EndEvidence::kEndListed);
 }
 
 // Compares the runs that the worker lists with the runs known here. Marks runs
@@ -687,7 +724,12 @@
   for (const PollReply::Running& row : reply.running) {
     listed.insert({row.task, row.attempt});
   }
-  std::vector<std::pair<RunKey, RunOutcome>> missing;
+  struct Missing {
+    RunKey key;
+    RunOutcome outcome;
+    EndEvidence evidence;
+  };
+  std::vector<Missing> missing;
   for (const auto& [key, run] : runs_) {
     if (run.phase == Phase::kQueued) continue;
     if (listed.contains({run.order.task, run.order.attempt})) continue;
@@ -697,20 +739,25 @@
       // The worker may have compiled the answer before it carried out the
       // start, even if the poll was sent after the start call. Only a poll that
       // was sent after the start was confirmed proves that the run is over.
-      if (run.confirmed_at < sent) missing.emplace_back(key, RunOutcome::kLost);
+      if (run.confirmed_at < sent) {
+        missing.push_back({key, RunOutcome::kLost, EndEvidence::kNotListed});
+      }
     } else if (run.phase == Phase::kStopping) {
       const bool is_refused =
           run.stop_confirmed && run.stop_confirmed_at < sent;
       if (is_refused || is_over_deadline) {
-        missing.emplace_back(key, run.may_have_started
-                                      ? RunOutcome::kLost
-                                      : RunOutcome::kNotStarted);
+        missing.push_back(
+            {key,
+             run.may_have_started ? RunOutcome::kLost : RunOutcome::kNotStarted,
+             is_refused ? EndEvidence::kNotListed
+                        : EndEvidence::kDeadlinePassed});
       }
     } else if (run.start_calls >= kMaxStartCalls && is_over_deadline) {
-      missing.emplace_back(key, RunOutcome::kNotStarted);
+      missing.push_back(
+          {key, RunOutcome::kNotStarted, EndEvidence::kDeadlinePassed});
     }
   }
-  for (const auto& [key, outcome] : missing) {
+  for (const auto& [key, outcome, evidence] : missing) {
     const Reason stop_reason = runs_.at(key).stop_reason;
     const Reason reason =
         stop_reason != Reason::kNone ? stop_reason : Reason::kRunInterrupted;
@@ -719,7 +766,7 @@
            outcome == RunOutcome::kNotStarted && stop_reason == Reason::kNone
                ? Reason::kGrantLost
                : reason,
-           Elapsed(runs_.at(key).received_at, now));
+           Elapsed(runs_.at(key).received_at, now), evidence);
   }
 }
 
@@ -773,7 +820,7 @@
                   {"answer_age_ms", Text(Elapsed(last_answer_, now))},
                   {"renewal_age_ms", Text(Elapsed(last_renewal_, now))},
                   {"runs", Text(runs_.size())}});
-    EndAllRuns(Reason::kWorkerLost);
+    EndAllRuns(Reason::kWorkerLost, EndEvidence::kLeaseExpired);
   }
   const ServingState present = state(now);
   if (present != reported_state_) {
@@ -801,7 +848,8 @@
     }
   }
   for (const RunKey& key : expired) {
-    EndRun(key, RunOutcome::kNotStarted, Reason::kDeadlinePassed, Millis(0));
+    EndRun(key, RunOutcome::kNotStarted, Reason::kDeadlinePassed, Millis(0),
+           EndEvidence::kNotSent);
   }
 }
 
@@ -919,7 +967,7 @@
   if (is_silent) call.wait = Millis(0);
   if (!runs_.empty() && !is_silent) {
     call.deadline = LeaseDeadline(now);
-    last_renewal_ = now;
+    NoteRenewal(call.deadline.value_or(Millis(0)), now);
   }
   return call;
 }
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -76,6 +76,18 @@
   auto operator<=>(const RunKey&) const = default;
 };
 
+// What the end of a run was concluded from, for the log.
+enum class EndEvidence : uint8_t {
+  kNotSent,         // No start call was sent.
+  kStartRefused,    // The worker refused the start.
+  kEndListed,       // The worker listed the end.
+  kNotListed,       // A poll sent after the start or stop did not list the run.
+  kDeadlinePassed,  // The same, and the deadline of the start has passed.
+  kWorkerGone,      // The worker's incarnation has ended.
+  kLeaseExpired     // The worker is silent and its lease has expired.
+};
+std::string_view EndEvidenceName(EndEvidence evidence);
+
 // Calls to the worker that the supervisor asks its owner to send. The owner
 // passes each answer to OnStartReply, OnStopReply or OnPollReply, along with
 // the call. `worker_generation` in it identifies answers that come from an
@@ -169,7 +181,9 @@
     bool may_have_started = false;
     bool stop_confirmed = false;
     Instant stop_confirmed_at;
-    Instant stop_sent_at;
+    Instant stop_began_at;  // When the first stop call was sent.
+    Instant stop_sent_at;   // When the newest stop call was sent.
+    uint32_t stop_calls = 0;
     Reason stop_reason = Reason::kNone;
   };
 
@@ -200,8 +214,12 @@
   void CallStop(Run* run, Instant now);
   void StopRunsOfHome(Incarnation home, Reason reason, Instant now);
   void EndQueuedRuns(Reason reason);
-  void EndRun(RunKey key, RunOutcome outcome, Reason reason, Millis run_time);
-  void EndAllRuns(Reason reason);
+  void EndRun(RunKey key, RunOutcome outcome, Reason reason, Millis run_time,
+              EndEvidence evidence);
+  void EndAllRuns(Reason reason, EndEvidence evidence);
+  // Time until the lease that the newest renewal asked for expires, on the
+  // estimated clock of the worker. Negative once it has expired.
+  Millis LeaseLeft(Instant now) const;
   void OnEnded(const PollReply::Ended& ended, Instant now);
   void ReconcileRunning(const PollReply& reply, Instant sent, Instant now);
   void UpdateSlowness(const PollReply& reply, Instant now);
@@ -210,6 +228,7 @@
   void BeginIncarnation(const WorkerAnnouncement& announcement, Instant now);
   void EndIncarnation(Reason reason);
   std::optional<Millis> LeaseDeadline(Instant now) const;
+  void NoteRenewal(Millis deadline, Instant now);
   void OnFenced(uint64_t refused_fence);
   PollCall NextPoll(Millis wait, Instant now);
   bool NeedsImmediatePoll(Instant now) const;
@@ -248,6 +267,8 @@
   Instant last_end_;        // When a new end was last received.
   Instant last_answer_;     // When a poll was last answered.
   Instant last_renewal_;    // When a call that renews leases was last sent.
+  // Latest lease end that was asked for, on the worker's clock.
+  Millis lease_end_{0};
   uint64_t last_end_number_ = 0;  // Highest number of an end received.
   WorkerClock clock_;
   WorkerHealth health_;
