Let the worker's lease expire under a run that must end

Callers saw: a task with two runs at the same time (TWICE). Cause: a worker has one lease for all its runs. A guard that stopped the runs of a silent home, or a withdrawn run, went on extending that lease with each poll and start, so a run whose stop the worker did not carry out lived for as long as the guard polled. The entry repeats the task 1900 ms after the guard's last report, and a caller submits its job again 1300 ms after a lost answer; both count on the run's end. Class: a time limit that one party relies on and another party extends. Evidence: AnUnstoppableRunsLeaseEndsThoughOtherRunsNeedIt failed before, with a lease until 5.0 s for a home that was silent from 0 s, and so did AWithdrawnRunEndsBeforeItsJobCanBeSubmittedAgain (4.0 s). Change: each run has a time by which it must have ended, 1200 ms after its home's last echo or after the order to stop it, and no call extends the lease beyond the earliest of them. A guard whose lease cannot be extended serves nothing.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -174,7 +174,30 @@
 std::optional<Millis> RunSupervisor::LeaseDeadline(Instant now) const {
   const std::optional<Millis> worker_now = clock_.At(now);
   if (!worker_now) return std::nullopt;
-  return *worker_now + options_.longest_lease;
+  const Millis allowed = Elapsed(now, LeaseLimit(now));
+  if (allowed <= Millis(0)) return std::nullopt;
+  return *worker_now + std::min(options_.longest_lease, allowed);
+}
+
+Instant RunSupervisor::LeaseLimit(Instant now) const {
+  Instant limit = now + options_.longest_lease;
+  for (const auto& [key, run] : runs_) {
+    if (run.phase == Phase::kQueued) continue;
+    if (run.must_end_by) {
+      limit = std::min(limit, *run.must_end_by);
+      continue;
+    }
+    const auto session = sessions_.find(run.session);
+    assert(session != sessions_.end());
+    limit = std::min(limit,
+                     EchoTime(session->second) + options_.unstopped_run_limit);
+  }
+  return limit;
+}
+
+void RunSupervisor::LimitRun(Run* run, Instant since) const {
+  const Instant end_by = since + options_.unstopped_run_limit;
+  run->must_end_by = std::min(run->must_end_by.value_or(end_by), end_by);
 }
 
 void RunSupervisor::NoteRenewal(Millis deadline, Instant now) {
@@ -201,6 +224,7 @@
   // its unread frames are ignored.
   for (auto entry = sessions_.begin(); entry != sessions_.end();) {
     if (entry->second.home == home) {
+      LimitRunsOfSession(entry->first, EchoTime(entry->second));
       StopRunsOfHome(home, Reason::kHomeSilent, now);
       entry = sessions_.erase(entry);
     } else {
@@ -216,6 +240,7 @@
   const auto found = sessions_.find(session);
   if (found == sessions_.end()) return;
   const Incarnation home = found->second.home;
+  LimitRunsOfSession(session, EchoTime(found->second));
   sessions_.erase(found);
   StopRunsOfHome(home, Reason::kHomeSilent, now);
 }
@@ -238,7 +263,9 @@
   }
   for (const uint64_t number : orders.stops) {
     const auto run = runs_.find({home.home, number});
-    if (run != runs_.end()) StopRun(&run->second, Reason::kWithdrawn, now);
+    if (run == runs_.end()) continue;
+    LimitRun(&run->second, now);
+    StopRun(&run->second, Reason::kWithdrawn, now);
   }
   StartReady(now);
 }
@@ -326,6 +353,11 @@
          home.echo + static_cast<uint64_t>(options_.home_lease.count());
 }
 
+Instant RunSupervisor::EchoTime(const HomeSession& home) const {
+  if (!home.has_echo) return started_;
+  return started_ + Millis(home.echo) - Millis(1);
+}
+
 uint64_t RunSupervisor::ReportStamp(Instant now) const {
   // Stamps begin at one, because an echo of zero means "no report received
   // yet".
@@ -489,6 +521,12 @@
   for (const RunKey& key : keys) StopRun(&runs_.at(key), reason, now);
 }
 
+void RunSupervisor::LimitRunsOfSession(uint64_t session, Instant since) {
+  for (auto& [key, run] : runs_) {
+    if (run.session == session) LimitRun(&run, since);
+  }
+}
+
 void RunSupervisor::EndQueuedRuns(Reason reason) {
   const std::vector<RunKey> queued = queue_;
   for (const RunKey& key : queued) {
@@ -775,6 +813,7 @@
 void RunSupervisor::OnSuspended(Instant now) {
   for (auto& [session, home] : sessions_) {
     home.has_echo = false;
+    LimitRunsOfSession(session, EchoTime(home));
     StopRunsOfHome(home.home, Reason::kHomeSilent, now);
   }
 }
@@ -795,6 +834,7 @@
 void RunSupervisor::CheckHomes(Instant now) {
   for (auto& [session, home] : sessions_) {
     if (IsHomeLeaseValid(home, now)) continue;
+    LimitRunsOfSession(session, EchoTime(home));
     StopRunsOfHome(home.home, Reason::kHomeSilent, now);
   }
 }
@@ -860,6 +900,10 @@
   // not included in `used_`.
   if (!is_settled_) return ServingState::kAbsent;
   if (now - last_answer_ > options_.silent_after) return ServingState::kAbsent;
+  // The worker does not carry out a stop, so its lease is about to expire.
+  if (LeaseLimit(now) < now + options_.shortest_lease) {
+    return ServingState::kAbsent;
+  }
   if (worker_->is_draining) return ServingState::kDraining;
   if (health_.is_open() && !health_.ProbeDue(now)) {
     return ServingState::kBreakerOpen;
@@ -967,7 +1011,7 @@
   if (is_silent) call.wait = Millis(0);
   if (!runs_.empty() && !is_silent) {
     call.deadline = LeaseDeadline(now);
-    NoteRenewal(call.deadline.value_or(Millis(0)), now);
+    if (call.deadline) NoteRenewal(*call.deadline, now);
   }
   return call;
 }
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -28,6 +28,12 @@
   // If the newest report that a home has echoed is older than this, the home
   // counts as unreachable: its runs are stopped and its orders refused.
   Millis home_lease{700};
+  // Longest time from the last sign of a home, or from its order to stop a run,
+  // until the run has ended, even if the worker carries out no stop. Less than
+  // the time after which a caller that lost its answer submits the job again.
+  Millis unstopped_run_limit{1200};
+  // No run is started when the worker's lease cannot be extended beyond this.
+  Millis shortest_lease{250};
   // How long the worker may wait for an end before it answers a poll, while
   // there are runs. Bounds the age of their reported progress.
   Millis poll_wait{120};
@@ -185,6 +191,9 @@
     Instant stop_sent_at;   // When the newest stop call was sent.
     uint32_t stop_calls = 0;
     Reason stop_reason = Reason::kNone;
+    // Set once the home counts on the end of the run: the run has ended by
+    // then, through a stop or through the expiry of the worker's lease.
+    std::optional<Instant> must_end_by;
   };
 
   struct HomeSession {
@@ -213,6 +222,10 @@
   void StopRun(Run* run, Reason reason, Instant now);
   void CallStop(Run* run, Instant now);
   void StopRunsOfHome(Incarnation home, Reason reason, Instant now);
+  // Records that the run must have ended `unstopped_run_limit` after `since` at
+  // the latest, unless an earlier time is recorded.
+  void LimitRun(Run* run, Instant since) const;
+  void LimitRunsOfSession(uint64_t session, Instant since);
   void EndQueuedRuns(Reason reason);
   void EndRun(RunKey key, RunOutcome outcome, Reason reason, Millis run_time,
               EndEvidence evidence);
@@ -227,7 +240,13 @@
   void EndMissingRuns(const PollReply& reply, Instant sent, Instant now);
   void BeginIncarnation(const WorkerAnnouncement& announcement, Instant now);
   void EndIncarnation(Reason reason);
+  // The deadline to send with a call that renews the worker's lease, on the
+  // worker's clock. Nothing if the clock is not known or if the lease must not
+  // be extended.
   std::optional<Millis> LeaseDeadline(Instant now) const;
+  // Returns until when the worker's lease may be extended. All runs share the
+  // lease, so the run that must end first determines it.
+  Instant LeaseLimit(Instant now) const;
   void NoteRenewal(Millis deadline, Instant now);
   void OnFenced(uint64_t refused_fence);
   PollCall NextPoll(Millis wait, Instant now);
@@ -243,6 +262,8 @@
   bool IsWaitingWorkFresh(const HomeSession& home, Instant now) const;
   uint64_t ReportStamp(Instant now) const;
   bool IsHomeLeaseValid(const HomeSession& home, Instant now) const;
+  // When the newest report that the home has echoed was sent.
+  Instant EchoTime(const HomeSession& home) const;
   int64_t QueuedCpu() const;
   uint64_t QueuedWork() const;
   RunReport MakeReport(uint64_t session, HomeSession* home, Instant now) const;
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -136,6 +136,58 @@
   EXPECT_EQ(stops_.size(), 1U);
 }
 
+// Guards against two runs of one task: a worker that carries out no stop, but
+// answers polls, must not keep a run for longer than its home counts on.
+TEST_F(RunSupervisorTest, AnUnstoppableRunsLeaseEndsThoughOtherRunsNeedIt) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "t2")};
+  supervisor_.OnOrders(kOtherSession, orders, At(15));
+  CollectActions(15);
+  ASSERT_EQ(starts_.size(), 2U);
+  AcceptStart(starts_[1], 16);
+  Millis lease_end{0};
+  for (int64_t ms = 20; ms <= 4000; ms += 20) {
+    EchoReport(kOtherSession, ms);
+    supervisor_.OnTimer(At(ms));
+    CollectActions(ms);
+    if (ms % 100 == 0) {
+      const auto percent = static_cast<uint32_t>(ms / 50);
+      AnswerPoll(ms, {{"t1", 1, percent}, {"t2", 1, percent}}, {});
+    }
+    lease_end =
+        std::max(lease_end, long_poll_.call.deadline.value_or(Millis(0)));
+  }
+  EXPECT_GT(stops_.size(), 1U);
+  // The home repeats the task 1900 ms after the last report, which it echoed
+  // when the test began.
+  EXPECT_LT(lease_end, Millis(100'000 + 1900 - 200));
+  EXPECT_NE(supervisor_.state(At(4000)), ServingState::kServing);
+}
+
+// Guards against two runs of one task: a caller submits its job again 1300 ms
+// after it lost the answer, and by then a withdrawn run must have ended.
+TEST_F(RunSupervisorTest, AWithdrawnRunEndsBeforeItsJobCanBeSubmittedAgain) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  PlaceOrders(20, {}, {1});
+  Millis lease_end{0};
+  for (int64_t ms = 40; ms <= 3000; ms += 20) {
+    EchoReport(kSession, ms);
+    supervisor_.OnTimer(At(ms));
+    CollectActions(ms);
+    if (ms % 100 == 0) AnswerPoll(ms, {{"t1", 1, 10}}, {});
+    lease_end =
+        std::max(lease_end, long_poll_.call.deadline.value_or(Millis(0)));
+  }
+  EXPECT_GT(stops_.size(), 1U);
+  EXPECT_LT(lease_end, Millis(100'020 + 1300));
+}
+
 TEST_F(RunSupervisorTest, RefusesAnOrderWhoseHomeEchoesAnOldReport) {
   supervisor_.OnOrders(kSession,
                        {reports_[kSession].stamp, {}, {MakeOrder(1, "t1")}, {}},
