Release no run on a report that does not speak about it

Callers saw: a task with two runs at the same time (TWICE). Cause: an entry marked the runs of a guard as out of reach after 700 ms without a report, and released them at the next report whose earlier_runs was zero. That count covers runs of earlier connections only. On an unbroken connection the first report after the silence released runs that the guard was only about to stop, or that still ran, and the entry started the tasks elsewhere at once. Class: an end concluded from an answer that does not say so. Evidence: AReportAfterASilenceReleasesNoRunOfItsConnection failed before (a second order 720 ms after the first, no end reported), and so did ARegainedRunOfAnAnsweredJobIsStopped. Change: a run knows the connection that its order took. A report on that connection makes it tracked again, as its end will be reported there, and only runs of earlier connections are released by earlier_runs.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -395,6 +395,7 @@
   run.job = job->number;
   run.task = index;
   run.guard = guard;
+  run.connection = record->connection;
   run.job_id = job->spec.id;
   record->open_runs.insert(order.number);
   WorkerTable::OnOrderSent(record, order);
@@ -633,6 +634,32 @@
                 {"released_in_ms", Text(TimeUntil(now, release_at))}});
 }
 
+void JobScheduler::SettleOrphans(const WorkerRecord& record,
+                                 uint32_t earlier_runs, Instant now) {
+  std::vector<uint64_t> ended;
+  size_t regained = 0;
+  for (const uint64_t number : record.open_runs) {
+    Run& run = runs_.at(number);
+    if (!run.is_orphan) continue;
+    if (run.connection == record.connection) {
+      // The guard was silent, but the connection lasted, so it will report the
+      // end of the run.
+      run.is_orphan = false;
+      ++regained;
+      if (!jobs_.contains(run.job)) StopRun(number);
+    } else if (earlier_runs == 0) {
+      ended.push_back(number);
+    }
+  }
+  if (regained > 0) {
+    log_->Record("runs_regained", {{"guard", record.address.ToString()},
+                                   {"runs", Text(regained)}});
+  }
+  for (const uint64_t number : ended) {
+    ReleaseRun(number, "no_earlier_runs", now);
+  }
+}
+
 void JobScheduler::OnReport(Incarnation guard, const RunReport& report,
                             Instant now) {
   // If the process was suspended, job deadlines may have passed meanwhile. They
@@ -642,15 +669,7 @@
   if (record == nullptr || !record->is_connected) return;
   workers_.OnReport(record, report, now);
   for (const RunEnd& end : report.ends) OnRunEnd(end.number, end, now);
-  std::vector<uint64_t> earlier;
-  if (report.earlier_runs == 0) {
-    for (const uint64_t number : record->open_runs) {
-      if (runs_.at(number).is_orphan) earlier.push_back(number);
-    }
-  }
-  for (const uint64_t number : earlier) {
-    ReleaseRun(number, "no_earlier_runs", now);
-  }
+  SettleOrphans(*record, report.earlier_runs, now);
   std::vector<uint64_t> former_runs;
   if (report.is_settled) {
     // Nothing that an earlier incarnation of this guard started still executes.
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -166,6 +166,7 @@
     uint64_t job = 0;  // The job may have been answered since.
     uint32_t task = 0;
     Incarnation guard;
+    uint64_t connection = 0;  // The guard's connection that took the order.
     std::string job_id;
     bool is_stopped = false;  // A stop was sent.
     bool is_orphan = false;   // Its guard was disconnected or silent.
@@ -203,6 +204,11 @@
   // Marks the open runs at a guard as orphans, to be released when all leases
   // that were last renewed at `since` have expired.
   void OrphanRuns(const WorkerRecord& record, Instant since, Instant now);
+  // Handles the orphans of a guard that has sent a report. Those that were
+  // ordered on the present connection are tracked again, and those of earlier
+  // connections are released if the guard has none of them left.
+  void SettleOrphans(const WorkerRecord& record, uint32_t earlier_runs,
+                     Instant now);
   // Handles a run that has ended without a report of its outcome as lost.
   // `evidence` names what its end was concluded from, for the log.
   void ReleaseRun(uint64_t number, std::string_view evidence, Instant now);
--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -50,6 +50,7 @@
   WorkerRecord& record = records_[guard];
   record.address = address;
   record.is_connected = true;
+  ++record.connection;
   record.has_report = false;
   record.last_report_at = now;
   record.in_flight.clear();
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -44,6 +44,7 @@
 struct WorkerRecord {
   Address address;
   bool is_connected = false;
+  uint64_t connection = 0;  // Counts the connections to the guard.
   bool has_report = false;
   Instant last_report_at;  // Arrival of the last report, or of the connection.
   Instant last_echo_at;    // When a report was last echoed to the guard.
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -149,6 +149,33 @@
   EXPECT_EQ(orders_.size(), 2U);
 }
 
+// Guards against two runs of one task: after a silence, the first report on the
+// same connection does not say that the runs ordered on it have ended.
+TEST_F(JobSchedulerTest, AReportAfterASilenceReleasesNoRunOfItsConnection) {
+  ConnectGuard(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  scheduler_.OnTimer(At(720));
+  scheduler_.OnReport(kGuardA, MakeReport(2, 4000), At(730));
+  CollectActions(730);
+  EXPECT_EQ(orders_.size(), 1U);
+  ReportEnd(0, RunOutcome::kLost, 790, Reason::kHomeSilent);
+  EXPECT_EQ(orders_.size(), 2U);
+}
+
+// Guards against a run that nobody stops: its job was answered while its guard
+// was silent.
+TEST_F(JobSchedulerTest, ARegainedRunOfAnAnsweredJobIsStopped) {
+  ConnectGuard(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  scheduler_.OnTimer(At(720));
+  scheduler_.OnCallerLeft(1, At(725));
+  CollectActions(725);
+  EXPECT_TRUE(stops_.empty());
+  scheduler_.OnReport(kGuardA, MakeReport(2, 4000), At(730));
+  CollectActions(730);
+  EXPECT_EQ(stops_.size(), 1U);
+}
+
 TEST_F(JobSchedulerTest, AJobSubmittedAgainWaitsForTheRunsOfTheFirst) {
   ConnectGuard(kGuardA, 0);
   Submit(1, MakeJob("a", 1), 10);
