Measure leases on a clock that goes on during a suspend

Cause: leases were measured on the steady clock, which stands still while the machine is suspended. A timer of 10 ms looked for a suspend and voided leases and jobs, but messages that were ready when the process resumed were handled before that timer: an entry could order a task whose caller had meanwhile submitted the job elsewhere, a guard could take an old echo for a new one. Class: a permission that is used after it has run out. Change: Clock reads CLOCK_BOOTTIME, so that every lease and deadline is judged by the time that has passed; the timer stays for jobs and callers. A worker may have been suspended along with its guard, so its clock is read anew. Evidence: by reading of the order in which asio handles sockets and timers. ASuspendedGuardReadsTheWorkersClockAnew failed with the new clock alone (deadline 104030 for a worker at 100110 ms, lease 1000 ms).

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -811,6 +811,9 @@
 // Timers.
 
 void RunSupervisor::OnSuspended(Instant now) {
+  // The worker may have been suspended as well, so that its clock is behind the
+  // estimate.
+  clock_.Reset();
   for (auto& [session, home] : sessions_) {
     home.has_echo = false;
     LimitRunsOfSession(session, EchoTime(home));
--- a/src/kernel/suspend_watch.h
+++ b/src/kernel/suspend_watch.h
@@ -4,9 +4,9 @@
 
 namespace qs {
 
-// Detects that the machine was suspended. The steady clock stands still during
-// a suspension, so leases measured on it would appear valid after they have
-// expired.
+// Detects that the machine was suspended. Leases expire by themselves, since
+// Clock goes on during a suspension; timers and the clocks of processes that
+// were suspended along with this one do not.
 class SuspendWatch {
  public:
   SuspendWatch();
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -188,6 +188,25 @@
   EXPECT_LT(lease_end, Millis(100'020 + 1300));
 }
 
+// Guards against a lease that is measured from the late arrival of a call: a
+// worker that was suspended along with its guard has an earlier clock than the
+// guard's estimate.
+TEST_F(RunSupervisorTest, ASuspendedGuardReadsTheWorkersClockAnew) {
+  supervisor_.OnSuspended(At(3000));
+  AnswerPoll(3000, {}, {});
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kAccepted;
+  reply.worker_clock = Millis(100'100);
+  reply.started_at = worker_started_at_;
+  supervisor_.OnSuspended(At(3010));
+  supervisor_.OnPollReply(long_poll_, reply, At(3020), At(3020));
+  CollectActions(3020);
+  EchoReport(kSession, 3020);
+  PlaceOrders(3030, {MakeOrder(1, "t1")});
+  ASSERT_EQ(starts_.size(), 1U);
+  EXPECT_LE(starts_[0].call.deadline, Millis(100'110 + 1000));
+}
+
 TEST_F(RunSupervisorTest, RefusesAnOrderWhoseHomeEchoesAnOldReport) {
   supervisor_.OnOrders(kSession,
                        {reports_[kSession].stamp, {}, {MakeOrder(1, "t1")}, {}},
