Take no refusal of a second copy for the refusal of the first

Callers saw: a task with two runs at the same time (TWICE). Cause: when a kept connection to the worker ended before a byte of the response, HttpClientConnection sent the request again by itself. The first copy may have been carried out, or may be yet. A refusal of the second copy, or of the new connection, went to the supervisor as the answer to the only call, so it reported the run as not started and the entry repeated the task at once. Class: an end concluded from an answer that does not prove it. Change: the client sends a request again only if not a byte of it was taken. Otherwise the outcome is kNoAnswer; the supervisor repeats starts and stops itself, and knows then that an earlier call may have been carried out. That showed two more faults in how such a start ends. A start whose second call was refused was never ended, as only three unanswered calls were waited for; and the deadline kept was that of the newest call, which may be earlier than the first one's when the lease must not be extended any more. Evidence: DoesNotRepeatARequestThatMayHaveBeenReceived failed before (three copies for two requests, a response instead of kNoAnswer), and so did AStartThatIsRefusedWhenRepeatedEndsAtItsDeadline (4000 of CPU occupied and no end 1100 ms after the order) and AnUnansweredStartEndsOnlyAtItsLatestDeadline (ended as not started 10 ms before the first call's deadline).

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -395,16 +395,19 @@
 }
 
 void RunSupervisor::CallStart(Run* run, Instant now) {
-  const std::optional<Millis> deadline = LeaseDeadline(now);
+  const Millis deadline = LeaseDeadline(now).value_or(Millis(0));
   assert(worker_.has_value());
-  run->start_deadline = deadline.value_or(Millis(0));
+  // A later call may have an earlier deadline if the lease must not be extended
+  // any more.
+  run->start_deadline =
+      std::max(run->start_deadline.value_or(deadline), deadline);
   run->start_sent_at = now;
   ++run->start_calls;
-  NoteRenewal(*run->start_deadline, now);
-  actions_.emplace_back(SendStart{
-      run->key, worker_generation_,
-      StartCall{worker_->incarnation, fence_.value(), run->order.task,
-                run->order.attempt, run->order.payload, *run->start_deadline}});
+  NoteRenewal(deadline, now);
+  actions_.emplace_back(
+      SendStart{run->key, worker_generation_,
+                StartCall{worker_->incarnation, fence_.value(), run->order.task,
+                          run->order.attempt, run->order.payload, deadline}});
 }
 
 void RunSupervisor::OnStartReply(const SendStart& start,
@@ -790,7 +793,8 @@
              is_refused ? EndEvidence::kNotListed
                         : EndEvidence::kDeadlinePassed});
       }
-    } else if (run.start_calls >= kMaxStartCalls && is_over_deadline) {
+    } else if (is_over_deadline) {
+      // The worker refuses every copy of the start from now on.
       missing.push_back(
           {key, RunOutcome::kNotStarted, EndEvidence::kDeadlinePassed});
     }
--- a/src/http/event_http_client.h
+++ b/src/http/event_http_client.h
@@ -15,10 +15,9 @@
 class HttpClientConnection;
 
 // Makes requests to one server on the thread of its io_context, over
-// connections that are kept open between them. If the server closes a kept
-// connection before any byte of the response arrived, the request is sent
-// again, so the client must be used for idempotent requests only. Parses with
-// Boost.Beast.
+// connections that are kept open between them. Sends each request at most once:
+// if the server closes a kept connection instead of responding, the outcome is
+// kNoAnswer. Parses with Boost.Beast.
 class EventHttpClient {
  public:
   using Callback = std::function<void(const HttpOutcome&)>;
--- a/src/http/http_client_connection.cc
+++ b/src/http/http_client_connection.cc
@@ -82,6 +82,12 @@
   std::error_code error;
   const size_t taken = socket_->write_some(asio::buffer(output_), error);
   if (error && error != asio::error::would_block) {
+    // The server has closed the kept connection. Nothing was sent on it, so the
+    // request may be sent on a new one.
+    if (is_reused_) {
+      Drop();
+      return Connect();
+    }
     return OnConnectionError(error);
   }
   if (taken == output_.size()) return;
@@ -133,9 +139,8 @@
     parser_->put_eof(ended);
     if (!ended && parser_->is_done()) return Finish(HttpFault::kNone);
   }
-  // The server closed the idle connection before it read the request, so the
-  // request is sent again on a new one.
-  if (is_reused_ && !parser_->got_some()) return Connect();
+  // The server may have received the request, so it is not sent again: the
+  // answer to a second copy would say nothing about the first one.
   Finish(HttpFault::kNoAnswer);
 }
 
--- a/tests/event_http_server_test.cc
+++ b/tests/event_http_server_test.cc
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <filesystem>
 #include <stdexcept>
@@ -16,6 +19,7 @@
 #include "lib/cluster.h"
 #include "lib/http_probe.h"
 #include "lib/raw_connection.h"
+#include "net/tcp.h"
 
 namespace qs::test {
 namespace {
@@ -276,6 +280,49 @@
   EXPECT_EQ(Exchange(Get("/b")).body, "/b,");
 }
 
+// Guards against two runs of one task: a server may carry out a request and
+// close the connection. A refusal of a second copy, which the client sent by
+// itself, would look like a refusal of the only one.
+TEST_F(EventHttpClientTest, DoesNotRepeatARequestThatMayHaveBeenReceived) {
+  Address closing = address_;
+  closing.port = 8302;
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, ToEndpoint(closing));
+  std::atomic<int> received{0};
+  const auto read_request = [&](asio::ip::tcp::socket* socket) {
+    std::string text;
+    std::error_code error;
+    asio::read_until(*socket, asio::dynamic_buffer(text), "\r\n\r\n", error);
+    if (!error) ++received;
+  };
+  std::thread server([&] {
+    asio::ip::tcp::socket kept = acceptor.accept();
+    read_request(&kept);
+    const auto respond = [](asio::ip::tcp::socket* socket, const char* status) {
+      std::error_code ignored;
+      asio::write(*socket,
+                  asio::buffer("HTTP/1.1 " + std::string(status) +
+                               "\r\nContent-Length: 0\r\n\r\n"),
+                  ignored);
+    };
+    respond(&kept, "200 OK");
+    read_request(&kept);
+    kept.close();
+    asio::ip::tcp::socket next = acceptor.accept();
+    read_request(&next);
+    respond(&next, "503 Service Unavailable");
+  });
+  Connect(closing, 1);
+  EXPECT_EQ(Exchange(Get("/a")).status, 200);
+  EXPECT_EQ(Exchange(Get("/b")).fault, HttpFault::kNoAnswer);
+  EXPECT_EQ(received, 2);
+  // The next request uses a new connection.
+  EXPECT_EQ(Exchange(Get("/c")).status, 503);
+  // Ends the server thread if it still waits for a connection.
+  const RawConnection unblock(closing, kWaitTimeout);
+  server.join();
+}
+
 TEST_F(EventHttpClientTest, ReportsAnUnreachableServer) {
   Address other = address_;
   other.port = 8301;
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -279,6 +279,61 @@
   EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
 }
 
+// Guards against a task that never ends: the worker refuses the second call of
+// a start whose first call got no answer, and then no call is left to repeat.
+TEST_F(RunSupervisorTest, AStartThatIsRefusedWhenRepeatedEndsAtItsDeadline) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(20));
+  CollectActions(20);
+  ASSERT_EQ(starts_.size(), 2U);
+  supervisor_.OnStartReply(starts_[1],
+                           {WorkerVerdict::kUnhealthy, std::nullopt}, At(21));
+  // The first call may still be carried out.
+  AnswerPoll(500, {}, {});
+  EXPECT_EQ(supervisor_.used().cpu_millis, 4000);
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(1100, {}, {});
+  EXPECT_EQ(supervisor_.used().cpu_millis, 0);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+}
+
+// Guards against two runs of one task: a repeated start may carry an earlier
+// deadline than the first one, which may still be carried out until its own.
+TEST_F(RunSupervisorTest, AnUnansweredStartEndsOnlyAtItsLatestDeadline) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  PlaceOrders(20, {}, {1});
+  for (int64_t ms = 200; ms <= 900; ms += 100) {
+    EchoReport(kSession, ms);
+    supervisor_.OnTimer(At(ms));
+    CollectActions(ms);
+    AnswerPoll(ms, {{"t1", 1, static_cast<uint32_t>(ms / 100)}}, {});
+  }
+  // The stop of t1 is not carried out, so the lease is not extended beyond
+  // 1220 ms.
+  PlaceOrders(905, {MakeOrder(2, "t2")});
+  ASSERT_EQ(starts_.size(), 2U);
+  const Millis first_deadline = starts_[1].call.deadline;
+  EXPECT_EQ(first_deadline, Millis(100'000 + 1220));
+  for (int64_t ms = 1300; ms <= 1310; ms += 10) {
+    supervisor_.OnStartReply(starts_.back(),
+                             {WorkerVerdict::kNoAnswer, std::nullopt}, At(ms));
+    CollectActions(ms);
+  }
+  ASSERT_EQ(starts_.size(), 4U);
+  EXPECT_LT(starts_.back().call.deadline, first_deadline);
+  PollReply early;
+  early.verdict = WorkerVerdict::kAccepted;
+  early.started_at = worker_started_at_;
+  early.worker_clock = first_deadline - Millis(10);
+  early.running = {{"t1", 1, 10}};
+  supervisor_.OnPollReply(long_poll_, early, At(1315), At(1315));
+  CollectActions(1315);
+  EXPECT_TRUE(ends_.empty());
+}
+
 TEST_F(RunSupervisorTest, StopsRunsThatItDidNotStart) {
   AnswerPoll(50, {{"foreign", 3, 10}}, {});
   ASSERT_EQ(stops_.size(), 1U);
