Conclude no end of runs from a refused connection

Callers saw: a task with two runs at the same time (TWICE). Cause: a poll whose connection was refused counted as the end of the worker's incarnation, and all its runs were reported lost at once. A fault of the network can refuse connections while the worker runs on for the rest of its lease. Class: an end concluded from an answer that does not prove it. Change: a refused poll makes the worker absent. Orders are refused and queued runs given back at once, as before, but runs that may have started are kept until an answer, another incarnation or the expiry of the worker's lease ends them. Refused polls are repeated after 50 ms and extend no lease. Without such runs the worker is forgotten until its next announcement, as before. A poll that is lost at once is repeated 50 ms after it was sent, so that reset connections do not make a loop. Cost: runs of a crashed worker are reported lost when its lease has expired or its next incarnation is known, about 1.1 s later than before at most. Evidence: ARefusedConnectionEndsNoRunThatMayHaveStarted failed before (the started run was reported as ended too), and so did RunsOfAWorkerThatRefusesConnectionsEndWithTheirLease (lost after 10 ms, with a lease until 1040 ms), ANewIncarnationAfterRefusedConnectionsEndsTheRuns and APollThatIsLostAtOnceIsNotRepeatedAtOnce.

--- a/include/quetzalspindle/worker_protocol.h
+++ b/include/quetzalspindle/worker_protocol.h
@@ -77,7 +77,8 @@
   kOtherIncarnation,  // Another incarnation of the worker answered; the call
                       // had no effect.
   kRejected,          // The worker does not understand the call.
-  kUnreachable,       // No connection; the call was not sent.
+  kUnreachable,       // The connection was refused; the call was not sent.
+                      // Proves nothing about the worker's runs.
   kNoAnswer,          // The call may have taken effect, or may do so later.
 };
 std::string_view WorkerVerdictName(WorkerVerdict verdict);
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -168,6 +168,7 @@
   ++worker_generation_;
   long_poll_in_flight_ = false;
   immediate_poll_in_flight_ = false;
+  refuses_connections_ = false;
   MarkLoadChanged();
 }
 
@@ -597,10 +598,11 @@
       OnFenced(hold.call.fence);
       next_long_poll_at_ = now;
       return;
-    case WorkerVerdict::kOtherIncarnation:
     case WorkerVerdict::kUnreachable:
-      // No process listens at the worker's address, or another incarnation
-      // does: the known incarnation has ended, and its runs with it.
+      OnConnectionRefused(now);
+      return;
+    case WorkerVerdict::kOtherIncarnation:
+      // The known incarnation has ended, and its runs with it.
       log_->Record("worker_gone",
                    {{"worker", worker_->incarnation.id},
                     {"verdict", std::string(WorkerVerdictName(reply.verdict))},
@@ -610,7 +612,7 @@
       return;
     case WorkerVerdict::kNoAnswer:
       last_lost_poll_ = now;
-      next_long_poll_at_ = now;
+      next_long_poll_at_ = std::max(now, long_poll_sent_at_ + kPollRetryDelay);
       return;
     default:
       next_long_poll_at_ = now + kPollRetryDelay;
@@ -628,6 +630,7 @@
   clock_.Update(reply.worker_clock, now);
   fence_.OnAccepted();
   last_answer_ = now;
+  refuses_connections_ = false;
   next_long_poll_at_ = now;
   for (const PollReply::Ended& ended : reply.ended) OnEnded(ended, now);
   ReconcileRunning(reply, sent, now);
@@ -635,6 +638,23 @@
   StartReady(now);
 }
 
+// A fault of the network may refuse connections while the worker goes on, so
+// that this proves the end of no run. The worker's lease limits the runs,
+// unless another incarnation is known before.
+void RunSupervisor::OnConnectionRefused(Instant now) {
+  if (!refuses_connections_) {
+    log_->Record("worker_unreachable",
+                 {{"worker", worker_->incarnation.id},
+                  {"answer_age_ms", Text(Elapsed(last_answer_, now))},
+                  {"runs", Text(runs_.size())}});
+  }
+  refuses_connections_ = true;
+  next_long_poll_at_ = now + kPollRetryDelay;
+  EndQueuedRuns(Reason::kBackendAbsent);
+  if (runs_.empty()) EndIncarnation(Reason::kWorkerLost);
+  CheckWorker(now);
+}
+
 void RunSupervisor::OnEnded(const PollReply::Ended& ended, Instant now) {
   if (ended.number <= last_end_number_) return;
   last_end_number_ = ended.number;
@@ -906,6 +926,7 @@
   // Runs of an earlier process of this guard may still occupy capacity that is
   // not included in `used_`.
   if (!is_settled_) return ServingState::kAbsent;
+  if (refuses_connections_) return ServingState::kAbsent;
   if (now - last_answer_ > options_.silent_after) return ServingState::kAbsent;
   // The worker does not carry out a stop, so its lease is about to expire.
   if (LeaseLimit(now) < now + options_.shortest_lease) {
@@ -1014,7 +1035,8 @@
                 std::nullopt, wait};
   // A call to an unresponsive worker may be carried out late. It must not renew
   // the leases of runs that this guard has given up by then.
-  const bool is_silent = now - last_answer_ > options_.renew_until;
+  const bool is_silent =
+      refuses_connections_ || now - last_answer_ > options_.renew_until;
   if (is_silent) call.wait = Millis(0);
   if (!runs_.empty() && !is_silent) {
     call.deadline = LeaseDeadline(now);
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -89,7 +89,7 @@
   kEndListed,       // The worker listed the end.
   kNotListed,       // A poll sent after the start or stop did not list the run.
   kDeadlinePassed,  // The same, and the deadline of the start has passed.
-  kWorkerGone,      // The worker's incarnation has ended.
+  kWorkerGone,      // Another incarnation of the worker is known.
   kLeaseExpired     // The worker is silent and its lease has expired.
 };
 std::string_view EndEvidenceName(EndEvidence evidence);
@@ -233,6 +233,7 @@
   // Time until the lease that the newest renewal asked for expires, on the
   // estimated clock of the worker. Negative once it has expired.
   Millis LeaseLeft(Instant now) const;
+  void OnConnectionRefused(Instant now);
   void OnEnded(const PollReply::Ended& ended, Instant now);
   void ReconcileRunning(const PollReply& reply, Instant sent, Instant now);
   void UpdateSlowness(const PollReply& reply, Instant now);
@@ -279,6 +280,8 @@
   bool is_stopping_ = false;
   // No run that an earlier process of this guard started can still be running.
   bool is_settled_ = false;
+  // The worker's address refused the newest connection that a poll needed.
+  bool refuses_connections_ = false;
   bool long_poll_in_flight_ = false;
   bool immediate_poll_in_flight_ = false;
   Instant long_poll_sent_at_;
--- a/src/http/http_client_connection.cc
+++ b/src/http/http_client_connection.cc
@@ -59,8 +59,7 @@
         if (socket != self->socket_) return;
         if (error) {
           self->Drop();
-          // Distinguishes a refused connection, which shows that no process
-          // listens, from an attempt that timed out.
+          // Distinguishes a refused connection from an attempt that timed out.
           return self->Finish(error == asio::error::connection_refused
                                   ? HttpFault::kUnreachable
                                   : HttpFault::kNoAnswer);
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -409,6 +409,98 @@
   EXPECT_GE(lost_at, 1020);
 }
 
+// Guards against two runs of one task: a fault of the network may refuse
+// connections to a worker that runs on.
+TEST_F(RunSupervisorTest, ARefusedConnectionEndsNoRunThatMayHaveStarted) {
+  PlaceOrders(10, {MakeOrder(1, "t1", 32'000)});
+  AcceptStart(starts_[0], 11);
+  PlaceOrders(12, {MakeOrder(2, "t2")});
+  PollReply refused;
+  refused.verdict = WorkerVerdict::kUnreachable;
+  supervisor_.OnPollReply(long_poll_, refused, At(50), At(50));
+  CollectActions(50);
+  // The queued run is given back at once, the started one is kept.
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].number, 2U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(supervisor_.used().cpu_millis, 32'000);
+  EXPECT_EQ(reports_[kSession].state, ServingState::kAbsent);
+  PlaceOrders(60, {MakeOrder(3, "t3")});
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].number, 3U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kNotStarted);
+  // The worker answers again, and still has the run.
+  supervisor_.OnTimer(At(110));
+  CollectActions(110);
+  AnswerPoll(110, {{"t1", 1, 10}}, {});
+  EXPECT_EQ(supervisor_.state(At(110)), ServingState::kServing);
+  AnswerPoll(150, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 3U);
+  EXPECT_EQ(ends_[2].outcome, RunOutcome::kDone);
+}
+
+// A worker that crashed refuses connections. Its runs are lost when their lease
+// has expired, which the refused polls must not extend, nor must they be sent
+// without a pause.
+TEST_F(RunSupervisorTest,
+       RunsOfAWorkerThatRefusesConnectionsEndWithTheirLease) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  AnswerPoll(40, {{"t1", 1, 10}}, {});
+  PollReply refused;
+  refused.verdict = WorkerVerdict::kUnreachable;
+  int64_t lost_at = 0;
+  int polls = 0;
+  bool is_polling = true;
+  for (int64_t ms = 50; ms <= 4000 && lost_at == 0; ms += 10) {
+    if (ms % 100 == 0) EchoReport(kSession, ms);
+    if (is_polling) {
+      supervisor_.OnPollReply(long_poll_, refused, At(ms), At(ms));
+    }
+    supervisor_.OnTimer(At(ms));
+    const auto due = ActionsOfType<SendPoll>(CollectActions(ms));
+    is_polling = false;
+    for (const SendPoll& poll : due) {
+      ++polls;
+      EXPECT_FALSE(poll.call.deadline);
+      if (!poll.is_immediate) is_polling = true;
+    }
+    if (!ends_.empty()) lost_at = ms;
+  }
+  ASSERT_FALSE(ends_.empty());
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+  // The lease was last extended at 40 ms.
+  EXPECT_GE(lost_at, 1040);
+  EXPECT_LE(lost_at, 1300);
+  EXPECT_LE(polls, 60);
+}
+
+// A crashed worker that is back, as another incarnation, has no earlier run.
+TEST_F(RunSupervisorTest, ANewIncarnationAfterRefusedConnectionsEndsTheRuns) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kUnreachable;
+  supervisor_.OnPollReply(long_poll_, reply, At(50), At(50));
+  CollectActions(50);
+  EXPECT_TRUE(ends_.empty());
+  CollectActions(110);
+  reply.verdict = WorkerVerdict::kOtherIncarnation;
+  supervisor_.OnPollReply(long_poll_, reply, At(110), At(111));
+  CollectActions(111);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+}
+
+// Guards against a loop of polls to a worker whose connections are reset.
+TEST_F(RunSupervisorTest, APollThatIsLostAtOnceIsNotRepeatedAtOnce) {
+  CollectActions(20);
+  const PollReply no_answer;
+  supervisor_.OnPollReply(long_poll_, no_answer, At(0), At(20));
+  EXPECT_TRUE(ActionsOfType<SendPoll>(CollectActions(20)).empty());
+  EXPECT_EQ(ActionsOfType<SendPoll>(CollectActions(60)).size(), 1U);
+}
+
 // Guards against a worker that does not answer some calls under load: ends, and
 // the capacity that they free, must not wait for the timeout of a poll.
 TEST_F(RunSupervisorTest, ALostPollDoesNotDelayEnds) {
