Conclude no end of runs from a worker's withdrawal

Callers saw: a task with two runs at the same time (TWICE). Cause: a withdrawal was matched by the worker's id alone, and ended all runs at once. A worker may start again under its id, so a late withdrawal of its earlier incarnation ended the runs of the present one. The worker also ends only after it has sent its withdrawal, so that its own runs may go on for some time. Class: an end concluded from an answer that does not prove it. Change: the adapter decodes the incarnation of a withdrawal, and one of another incarnation is logged and ignored. A withdrawn worker gets nothing new and its queued runs are given back at once; runs that may have started are kept until an answer, another incarnation or the expiry of the lease ends them. A worker without such runs is forgotten at once, as before. An unreadable withdrawal is logged and still acknowledged. Evidence: AWithdrawalOfAnotherIncarnationIsIgnored failed before (the run of the present incarnation ended, and the worker was absent), and so did AWithdrawnWorkerGetsNothingNewAndItsRunsAreTracked (the started run ended with the withdrawal). Both were run with the former signature of OnWithdrawn, that is, with the id only.

--- a/include/quetzalspindle/worker_protocol.h
+++ b/include/quetzalspindle/worker_protocol.h
@@ -143,6 +143,11 @@
       const std::string& id, const std::string& body) const {
     return OnDecodeAnnouncement(id, body);
   }
+  // Returns the incarnation that withdraws itself.
+  Checked<WorkerIncarnation> DecodeWithdrawal(const std::string& id,
+                                              const std::string& body) const {
+    return OnDecodeWithdrawal(id, body);
+  }
   // Body of the response to an announcement or a withdrawal.
   virtual std::string AnnouncementAnswer() const = 0;
 
@@ -154,6 +159,8 @@
   virtual PollReply OnDecodePoll(const HttpOutcome& outcome) const = 0;
   virtual Checked<WorkerAnnouncement> OnDecodeAnnouncement(
       const std::string& id, const std::string& body) const = 0;
+  virtual Checked<WorkerIncarnation> OnDecodeWithdrawal(
+      const std::string& id, const std::string& body) const = 0;
 };
 
 }  // namespace qs
--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -196,9 +196,20 @@
 }
 
 HttpResponse JobGuardRole::OnWithdraw(const HttpRequest& request) {
-  supervisor_->OnWithdrawn(request.suffix);
-  Pump();
+  const Checked<WorkerIncarnation> incarnation =
+      kernel_->deployment->workers().DecodeWithdrawal(request.suffix,
+                                                      request.body);
   HttpResponse response;
+  if (incarnation) {
+    supervisor_->OnWithdrawn(*incarnation, Clock::now());
+    Pump();
+  } else {
+    // Still acknowledged: a worker that ends without an answer stays for
+    // longer.
+    Log(LogLevel::kWarn, "withdrawal_refused",
+        {{"worker", request.suffix},
+         {"findings", incarnation.error().ToText()}});
+  }
   response.body = kernel_->deployment->workers().AnnouncementAnswer();
   return response;
 }
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -150,11 +150,32 @@
   MarkLoadChanged();
 }
 
-void RunSupervisor::OnWithdrawn(const std::string& worker_id) {
-  if (!worker_ || worker_->incarnation.id != worker_id) return;
+// The worker ends soon after it has sent its withdrawal. Until then its runs go
+// on, so they are tracked until their end is certain.
+void RunSupervisor::OnWithdrawn(const WorkerIncarnation& incarnation,
+                                Instant now) {
+  if (!worker_ || worker_->incarnation != incarnation) {
+    log_->Record(
+        "withdrawal_ignored",
+        {{"worker", incarnation.id},
+         {"started_at", Text(incarnation.started_at)},
+         {"present", Text(worker_ ? worker_->incarnation.started_at : 0)}});
+    return;
+  }
   log_->Record("worker_withdrawn",
-               {{"worker", worker_id}, {"runs", Text(runs_.size())}});
-  EndIncarnation(Reason::kWorkerLost);
+               {{"worker", incarnation.id},
+                {"started_at", Text(incarnation.started_at)},
+                {"runs", Text(runs_.size())}});
+  is_withdrawn_ = true;
+  GiveUpWorker(now);
+}
+
+// Gives back the queued runs. The worker is forgotten, and not polled any more,
+// if no other runs are tracked.
+void RunSupervisor::GiveUpWorker(Instant now) {
+  EndQueuedRuns(Reason::kBackendAbsent);
+  if (runs_.empty()) EndIncarnation(Reason::kWorkerLost);
+  CheckWorker(now);
 }
 
 // Called when no run of the current incarnation of the worker can still be
@@ -169,6 +190,7 @@
   long_poll_in_flight_ = false;
   immediate_poll_in_flight_ = false;
   refuses_connections_ = false;
+  is_withdrawn_ = false;
   MarkLoadChanged();
 }
 
@@ -650,9 +672,7 @@
   }
   refuses_connections_ = true;
   next_long_poll_at_ = now + kPollRetryDelay;
-  EndQueuedRuns(Reason::kBackendAbsent);
-  if (runs_.empty()) EndIncarnation(Reason::kWorkerLost);
-  CheckWorker(now);
+  GiveUpWorker(now);
 }
 
 void RunSupervisor::OnEnded(const PollReply::Ended& ended, Instant now) {
@@ -926,7 +946,7 @@
   // Runs of an earlier process of this guard may still occupy capacity that is
   // not included in `used_`.
   if (!is_settled_) return ServingState::kAbsent;
-  if (refuses_connections_) return ServingState::kAbsent;
+  if (refuses_connections_ || is_withdrawn_) return ServingState::kAbsent;
   if (now - last_answer_ > options_.silent_after) return ServingState::kAbsent;
   // The worker does not carry out a stop, so its lease is about to expire.
   if (LeaseLimit(now) < now + options_.shortest_lease) {
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -136,7 +136,7 @@
 
   // Events of the worker.
   void OnAnnouncement(const WorkerAnnouncement& announcement, Instant now);
-  void OnWithdrawn(const std::string& worker_id);
+  void OnWithdrawn(const WorkerIncarnation& incarnation, Instant now);
   void OnStartReply(const SendStart& start, const WorkerReply& reply,
                     Instant now);
   void OnStopReply(const SendStop& stop, const WorkerReply& reply, Instant now);
@@ -241,6 +241,7 @@
   void EndMissingRuns(const PollReply& reply, Instant sent, Instant now);
   void BeginIncarnation(const WorkerAnnouncement& announcement, Instant now);
   void EndIncarnation(Reason reason);
+  void GiveUpWorker(Instant now);
   // The deadline to send with a call that renews the worker's lease, on the
   // worker's clock. Nothing if the clock is not known or if the lease must not
   // be extended.
@@ -282,6 +283,8 @@
   bool is_settled_ = false;
   // The worker's address refused the newest connection that a poll needed.
   bool refuses_connections_ = false;
+  // The worker's incarnation has said that it is about to end.
+  bool is_withdrawn_ = false;
   bool long_poll_in_flight_ = false;
   bool immediate_poll_in_flight_ = false;
   Instant long_poll_sent_at_;
--- a/tests/fuzz/readers.cc
+++ b/tests/fuzz/readers.cc
@@ -84,6 +84,9 @@
   const auto read =
       platform::WorkerHttp().DecodeAnnouncement("w", ToText(data, size));
   Require(read ? !read->incarnation.id.empty() : !read.error().empty());
+  const auto withdrawal =
+      platform::WorkerHttp().DecodeWithdrawal("w", ToText(data, size));
+  Require(withdrawal ? !withdrawal->id.empty() : !withdrawal.error().empty());
 }
 
 void ReadHold(const uint8_t* data, size_t size) {
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -231,6 +231,21 @@
   EXPECT_FALSE(protocol.DecodeAnnouncement("i-1", "\xff{"));
 }
 
+// A worker that starts again keeps its id, so a withdrawal must say which
+// incarnation it is from.
+TEST(WorkerHttpTest, AWithdrawalCarriesItsIncarnation) {
+  const WorkerHttp protocol;
+  const auto read =
+      protocol.DecodeWithdrawal("i-1", json{{"born", 17}, {"seq", 9}}.dump());
+  ASSERT_TRUE(read) << read.error().ToText();
+  EXPECT_EQ(*read, (WorkerIncarnation{"i-1", 17}));
+  for (const char* body :
+       {"", "[]", "{}", R"({"born":"17"})", R"({"born":-1})", "\xff{"}) {
+    EXPECT_FALSE(protocol.DecodeWithdrawal("i-1", body)) << body;
+  }
+  EXPECT_FALSE(protocol.DecodeWithdrawal("", R"({"born":17})"));
+}
+
 // A refusal with unexpected content must not terminate the process that reads
 // it.
 TEST(WorkerHttpTest, ARefusalOfAnotherFormIsARejection) {
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -501,6 +501,55 @@
   EXPECT_EQ(ActionsOfType<SendPoll>(CollectActions(60)).size(), 1U);
 }
 
+// Guards against two runs of one task: a worker may start again under its id,
+// and the withdrawal of its earlier incarnation may arrive late.
+TEST_F(RunSupervisorTest, AWithdrawalOfAnotherIncarnationIsIgnored) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnWithdrawn({"w", 999}, At(20));
+  supervisor_.OnWithdrawn({"other", 1000}, At(20));
+  CollectActions(20);
+  EXPECT_TRUE(ends_.empty());
+  EXPECT_EQ(supervisor_.state(At(20)), ServingState::kServing);
+}
+
+// Guards against two runs of one task: a worker withdraws before it ends, and a
+// withdrawal does not say when its runs end.
+TEST_F(RunSupervisorTest, AWithdrawnWorkerGetsNothingNewAndItsRunsAreTracked) {
+  PlaceOrders(10, {MakeOrder(1, "t1", 32'000)});
+  AcceptStart(starts_[0], 11);
+  PlaceOrders(12, {MakeOrder(2, "t2")});
+  supervisor_.OnWithdrawn({"w", 1000}, At(20));
+  CollectActions(20);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].number, 2U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(supervisor_.used().cpu_millis, 32'000);
+  // A heartbeat that was sent before the withdrawal does not revoke it.
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 2), At(25));
+  EXPECT_EQ(supervisor_.state(At(25)), ServingState::kAbsent);
+  AnswerPoll(30, {{"t1", 1, 10}}, {});
+  EXPECT_EQ(supervisor_.state(At(30)), ServingState::kAbsent);
+  AnswerPoll(60, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kDone);
+  EXPECT_EQ(supervisor_.state(At(60)), ServingState::kAbsent);
+  // The next incarnation serves.
+  worker_started_at_ = 2000;
+  supervisor_.OnAnnouncement(MakeAnnouncement(2000, 1), At(70));
+  CollectActions(70);
+  AnswerPoll(70, {}, {});
+  EXPECT_EQ(supervisor_.state(At(70)), ServingState::kServing);
+}
+
+// A worker that leaves as a rule has no runs; there is nothing to wait for.
+TEST_F(RunSupervisorTest, AnIdleWorkerThatWithdrawsIsNotPolledAnyMore) {
+  supervisor_.OnWithdrawn({"w", 1000}, At(20));
+  EXPECT_FALSE(supervisor_.worker());
+  EXPECT_EQ(supervisor_.state(At(20)), ServingState::kAbsent);
+  EXPECT_TRUE(ActionsOfType<SendPoll>(CollectActions(500)).empty());
+}
+
 // Guards against a worker that does not answer some calls under load: ends, and
 // the capacity that they free, must not wait for the timeout of a poll.
 TEST_F(RunSupervisorTest, ALostPollDoesNotDelayEnds) {
