Let a poll tell how a run of a stale start ended

Callers saw: a task with two runs at the same time, or a start after its run had ended done (TWICE). Cause: a worker refuses the second call of a start as stale if the run of the first one has ended. The supervisor reported that run as not started, while its end, perhaps done, was listed in a poll answer still on its way. Even a run that was known to have started was ended so by a late refusal. Class: an end concluded from an answer that does not say how the run ended. Change: after such a refusal a poll is sent at once. If an answer lists the end, that decides; if an answer to a poll sent after the refusal does not, the run did not start. A start that was called once and refused is reported at once, as before. Evidence: AStaleRepeatedStartDoesNotHideTheEndOfTheFirst failed before (ended as not started before the answer), and so did AStaleAttemptIsReportedAfterOnePoll and ALateStaleAnswerDoesNotEndAConfirmedRun (not started instead of done).

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -461,9 +461,12 @@
       break;
   }
   // An earlier call of the same start may have been carried out, so this
-  // refusal does not prove that the run did not start. A stale attempt does
-  // prove that it is over.
-  if (run.may_have_started && reply.verdict != WorkerVerdict::kStaleAttempt) {
+  // refusal does not prove that the run did not start. A stale attempt proves
+  // that it is over, but not how it ended: the next poll tells that.
+  if (run.may_have_started) {
+    if (reply.verdict != WorkerVerdict::kStaleAttempt) return;
+    if (!run.stale_since) run.stale_since = now;
+    must_poll_now_ = true;
     return;
   }
   log_->Record("start_refused",
@@ -816,6 +819,7 @@
     if (listed.contains({run.order.task, run.order.attempt})) continue;
     const bool is_over_deadline = reply.worker_clock && run.start_deadline &&
                                   *reply.worker_clock > *run.start_deadline;
+    const bool is_stale = run.stale_since && *run.stale_since < sent;
     if (run.phase == Phase::kRunning) {
       // The worker may have compiled the answer before it carried out the
       // start, even if the poll was sent after the start call. Only a poll that
@@ -825,7 +829,7 @@
       }
     } else if (run.phase == Phase::kStopping) {
       const bool is_refused =
-          run.stop_confirmed && run.stop_confirmed_at < sent;
+          is_stale || (run.stop_confirmed && run.stop_confirmed_at < sent);
       if (is_refused || is_over_deadline) {
         missing.push_back(
             {key,
@@ -833,6 +837,9 @@
              is_refused ? EndEvidence::kNotListed
                         : EndEvidence::kDeadlinePassed});
       }
+    } else if (is_stale) {
+      missing.push_back(
+          {key, RunOutcome::kNotStarted, EndEvidence::kStartRefused});
     } else if (is_over_deadline) {
       // The worker refuses every copy of the start from now on.
       missing.push_back(
@@ -841,14 +848,16 @@
   }
   for (const auto& [key, outcome, evidence] : missing) {
     const Reason stop_reason = runs_.at(key).stop_reason;
-    const Reason reason =
-        stop_reason != Reason::kNone ? stop_reason : Reason::kRunInterrupted;
+    Reason reason = stop_reason;
+    if (reason == Reason::kNone && outcome == RunOutcome::kLost) {
+      reason = Reason::kRunInterrupted;
+    } else if (reason == Reason::kNone) {
+      reason = evidence == EndEvidence::kStartRefused ? Reason::kStaleAttempt
+                                                      : Reason::kGrantLost;
+    }
     health_.OnInconclusive();
-    EndRun(key, outcome,
-           outcome == RunOutcome::kNotStarted && stop_reason == Reason::kNone
-               ? Reason::kGrantLost
-               : reason,
-           Elapsed(runs_.at(key).received_at, now), evidence);
+    EndRun(key, outcome, reason, Elapsed(runs_.at(key).received_at, now),
+           evidence);
   }
 }
 
@@ -1067,6 +1076,7 @@
 
 bool RunSupervisor::NeedsImmediatePoll(Instant now) const {
   if (immediate_poll_in_flight_ || runs_.size() == queue_.size()) return false;
+  if (must_poll_now_) return true;
   const bool lost_recently = now - last_lost_poll_ < options_.loss_window;
   const Millis after = lost_recently ? options_.immediate_poll_after_loss
                                      : options_.immediate_poll_after;
@@ -1084,6 +1094,7 @@
         SendPoll{worker_generation_, false, NextPoll(wait, now)});
   } else if (worker_ && NeedsImmediatePoll(now)) {
     immediate_poll_in_flight_ = true;
+    must_poll_now_ = false;
     immediate_poll_sent_at_ = now;
     actions_.emplace_back(
         SendPoll{worker_generation_, true, NextPoll(Millis(0), now)});
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -185,6 +185,8 @@
     // Latest deadline of the start calls, on the worker's clock.
     std::optional<Millis> start_deadline;
     bool may_have_started = false;
+    // When the worker first refused a repeated start as stale: the run is over.
+    std::optional<Instant> stale_since;
     bool stop_confirmed = false;
     Instant stop_confirmed_at;
     Instant stop_began_at;  // When the first stop call was sent.
@@ -287,6 +289,7 @@
   bool is_withdrawn_ = false;
   bool long_poll_in_flight_ = false;
   bool immediate_poll_in_flight_ = false;
+  bool must_poll_now_ = false;  // The next immediate poll must not be delayed.
   Instant long_poll_sent_at_;
   Instant immediate_poll_sent_at_;
   Instant next_long_poll_at_;
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -550,6 +550,85 @@
   EXPECT_TRUE(ActionsOfType<SendPoll>(CollectActions(500)).empty());
 }
 
+// Guards against a start after a run has ended done: the first copy of a start
+// may have run and ended before the worker refuses the second copy as stale.
+TEST_F(RunSupervisorTest, AStaleRepeatedStartDoesNotHideTheEndOfTheFirst) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(90));
+  CollectActions(90);
+  ASSERT_EQ(starts_.size(), 2U);
+  const int polls_before = immediate_poll_count_;
+  supervisor_.OnStartReply(
+      starts_[1], {WorkerVerdict::kStaleAttempt, Millis(100'092)}, At(92));
+  CollectActions(92);
+  EXPECT_TRUE(ends_.empty());
+  EXPECT_EQ(supervisor_.used().cpu_millis, 4000);
+  ASSERT_EQ(immediate_poll_count_, polls_before + 1);
+  // An answer to a poll that was sent before decides nothing unless it lists
+  // the end.
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kAccepted;
+  reply.worker_clock = Millis(100'093);
+  reply.started_at = worker_started_at_;
+  supervisor_.OnPollReply(long_poll_, reply, At(50), At(93));
+  CollectActions(93);
+  EXPECT_TRUE(ends_.empty());
+  reply.ended = {{1, "t1", 1, RunEnding::kDone}};
+  supervisor_.OnPollReply(immediate_poll_, reply, At(93), At(94));
+  CollectActions(94);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kDone);
+}
+
+// An earlier job with the same id used the attempt number. The entry needs to
+// know soon, to use another one.
+TEST_F(RunSupervisorTest, AStaleAttemptIsReportedAfterOnePoll) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(90));
+  CollectActions(90);
+  supervisor_.OnStartReply(
+      starts_[1], {WorkerVerdict::kStaleAttempt, Millis(100'092)}, At(92));
+  CollectActions(92);
+  EXPECT_TRUE(ends_.empty());
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kAccepted;
+  reply.worker_clock = Millis(100'093);
+  reply.started_at = worker_started_at_;
+  supervisor_.OnPollReply(immediate_poll_, reply, At(93), At(94));
+  CollectActions(94);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[0].reason, Reason::kStaleAttempt);
+  // Only one call was sent for this start, so it was refused and did not run.
+  PlaceOrders(100, {MakeOrder(2, "t2")});
+  supervisor_.OnStartReply(
+      starts_.back(), {WorkerVerdict::kStaleAttempt, Millis(100'101)}, At(101));
+  CollectActions(101);
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[1].reason, Reason::kStaleAttempt);
+}
+
+// Guards against a start after a run has ended done: a refusal of an earlier
+// copy may arrive when the run is known to have started.
+TEST_F(RunSupervisorTest, ALateStaleAnswerDoesNotEndAConfirmedRun) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(20));
+  CollectActions(20);
+  ASSERT_EQ(starts_.size(), 2U);
+  AnswerPoll(25, {{"t1", 1, 1}}, {});
+  supervisor_.OnStartReply(
+      starts_[1], {WorkerVerdict::kStaleAttempt, Millis(100'130)}, At(130));
+  CollectActions(130);
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(132, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kDone);
+}
+
 // Guards against a worker that does not answer some calls under load: ends, and
 // the capacity that they free, must not wait for the timeout of a poll.
 TEST_F(RunSupervisorTest, ALostPollDoesNotDelayEnds) {
