--- a/include/quetzalspindle/worker_protocol.h
+++ b/include/quetzalspindle/worker_protocol.h
@@ -77,7 +77,8 @@
   kOtherIncarnation,  // Another incarnation of the worker answered; the call
                       // had no effect.
   kRejected,          // The worker does not understand the call.
-  kUnreachable,       // No connection; the call was not sent.
+  kUnreachable,       // The connection was refused; the call was not sent.
+                      // Proves nothing about the worker's runs.
   kNoAnswer,          // The call may have taken effect, or may do so later.
 };
 std::string_view WorkerVerdictName(WorkerVerdict verdict);
@@ -142,6 +143,11 @@
       const std::string& id, const std::string& body) const {
     return OnDecodeAnnouncement(id, body);
   }
+  // Returns the incarnation that withdraws itself.
+  Checked<WorkerIncarnation> DecodeWithdrawal(const std::string& id,
+                                              const std::string& body) const {
+    return OnDecodeWithdrawal(id, body);
+  }
   // Body of the response to an announcement or a withdrawal.
   virtual std::string AnnouncementAnswer() const = 0;
 
@@ -153,6 +159,8 @@
   virtual PollReply OnDecodePoll(const HttpOutcome& outcome) const = 0;
   virtual Checked<WorkerAnnouncement> OnDecodeAnnouncement(
       const std::string& id, const std::string& body) const = 0;
+  virtual Checked<WorkerIncarnation> OnDecodeWithdrawal(
+      const std::string& id, const std::string& body) const = 0;
 };
 
 }  // namespace qs
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -150,11 +150,32 @@
   MarkLoadChanged();
 }
 
-void RunSupervisor::OnWithdrawn(const std::string& worker_id) {
-  if (!worker_ || worker_->incarnation.id != worker_id) return;
+// The worker ends soon after it has sent its withdrawal. Until then its runs go
+// on, so they are tracked until their end is certain.
+void RunSupervisor::OnWithdrawn(const WorkerIncarnation& incarnation,
+                                Instant now) {
+  if (!worker_ || worker_->incarnation != incarnation) {
+    log_->Record(
+        "withdrawal_ignored",
+        {{"worker", incarnation.id},
+         {"started_at", Text(incarnation.started_at)},
+         {"present", Text(worker_ ? worker_->incarnation.started_at : 0)}});
+    return;
+  }
   log_->Record("worker_withdrawn",
-               {{"worker", worker_id}, {"runs", Text(runs_.size())}});
-  EndIncarnation(Reason::kWorkerLost);
+               {{"worker", incarnation.id},
+                {"started_at", Text(incarnation.started_at)},
+                {"runs", Text(runs_.size())}});
+  is_withdrawn_ = true;
+  GiveUpWorker(now);
+}
+
+// Gives back the queued runs. The worker is forgotten, and not polled any more,
+// if no other runs are tracked.
+void RunSupervisor::GiveUpWorker(Instant now) {
+  EndQueuedRuns(Reason::kBackendAbsent);
+  if (runs_.empty()) EndIncarnation(Reason::kWorkerLost);
+  CheckWorker(now);
 }
 
 // Called when no run of the current incarnation of the worker can still be
@@ -168,6 +189,8 @@
   ++worker_generation_;
   long_poll_in_flight_ = false;
   immediate_poll_in_flight_ = false;
+  refuses_connections_ = false;
+  is_withdrawn_ = false;
   MarkLoadChanged();
 }
 
@@ -395,16 +418,19 @@
 }
 
 void RunSupervisor::CallStart(Run* run, Instant now) {
-  const std::optional<Millis> deadline = LeaseDeadline(now);
+  const Millis deadline = LeaseDeadline(now).value_or(Millis(0));
   assert(worker_.has_value());
-  run->start_deadline = deadline.value_or(Millis(0));
+  // A later call may have an earlier deadline if the lease must not be extended
+  // any more.
+  run->start_deadline =
+      std::max(run->start_deadline.value_or(deadline), deadline);
   run->start_sent_at = now;
   ++run->start_calls;
-  NoteRenewal(*run->start_deadline, now);
-  actions_.emplace_back(SendStart{
-      run->key, worker_generation_,
-      StartCall{worker_->incarnation, fence_.value(), run->order.task,
-                run->order.attempt, run->order.payload, *run->start_deadline}});
+  NoteRenewal(deadline, now);
+  actions_.emplace_back(
+      SendStart{run->key, worker_generation_,
+                StartCall{worker_->incarnation, fence_.value(), run->order.task,
+                          run->order.attempt, run->order.payload, deadline}});
 }
 
 void RunSupervisor::OnStartReply(const SendStart& start,
@@ -435,9 +461,12 @@
       break;
   }
   // An earlier call of the same start may have been carried out, so this
-  // refusal does not prove that the run did not start. A stale attempt does
-  // prove that it is over.
-  if (run.may_have_started && reply.verdict != WorkerVerdict::kStaleAttempt) {
+  // refusal does not prove that the run did not start. A stale attempt proves
+  // that it is over, but not how it ended: the next poll tells that.
+  if (run.may_have_started) {
+    if (reply.verdict != WorkerVerdict::kStaleAttempt) return;
+    if (!run.stale_since) run.stale_since = now;
+    must_poll_now_ = true;
     return;
   }
   log_->Record("start_refused",
@@ -594,10 +623,11 @@
       OnFenced(hold.call.fence);
       next_long_poll_at_ = now;
       return;
-    case WorkerVerdict::kOtherIncarnation:
     case WorkerVerdict::kUnreachable:
-      // No process listens at the worker's address, or another incarnation
-      // does: the known incarnation has ended, and its runs with it.
+      OnConnectionRefused(now);
+      return;
+    case WorkerVerdict::kOtherIncarnation:
+      // The known incarnation has ended, and its runs with it.
       log_->Record("worker_gone",
                    {{"worker", worker_->incarnation.id},
                     {"verdict", std::string(WorkerVerdictName(reply.verdict))},
@@ -607,7 +637,7 @@
       return;
     case WorkerVerdict::kNoAnswer:
       last_lost_poll_ = now;
-      next_long_poll_at_ = now;
+      next_long_poll_at_ = std::max(now, long_poll_sent_at_ + kPollRetryDelay);
       return;
     default:
       next_long_poll_at_ = now + kPollRetryDelay;
@@ -625,6 +655,7 @@
   clock_.Update(reply.worker_clock, now);
   fence_.OnAccepted();
   last_answer_ = now;
+  refuses_connections_ = false;
   next_long_poll_at_ = now;
   for (const PollReply::Ended& ended : reply.ended) OnEnded(ended, now);
   ReconcileRunning(reply, sent, now);
@@ -632,6 +663,21 @@
   StartReady(now);
 }
 
+// A fault of the network may refuse connections while the worker goes on, so
+// that this proves the end of no run. The worker's lease limits the runs,
+// unless another incarnation is known before.
+void RunSupervisor::OnConnectionRefused(Instant now) {
+  if (!refuses_connections_) {
+    log_->Record("worker_unreachable",
+                 {{"worker", worker_->incarnation.id},
+                  {"answer_age_ms", Text(Elapsed(last_answer_, now))},
+                  {"runs", Text(runs_.size())}});
+  }
+  refuses_connections_ = true;
+  next_long_poll_at_ = now + kPollRetryDelay;
+  GiveUpWorker(now);
+}
+
 void RunSupervisor::OnEnded(const PollReply::Ended& ended, Instant now) {
   if (ended.number <= last_end_number_) return;
   last_end_number_ = ended.number;
@@ -773,6 +819,7 @@
     if (listed.contains({run.order.task, run.order.attempt})) continue;
     const bool is_over_deadline = reply.worker_clock && run.start_deadline &&
                                   *reply.worker_clock > *run.start_deadline;
+    const bool is_stale = run.stale_since && *run.stale_since < sent;
     if (run.phase == Phase::kRunning) {
       // The worker may have compiled the answer before it carried out the
       // start, even if the poll was sent after the start call. Only a poll that
@@ -782,7 +829,7 @@
       }
     } else if (run.phase == Phase::kStopping) {
       const bool is_refused =
-          run.stop_confirmed && run.stop_confirmed_at < sent;
+          is_stale || (run.stop_confirmed && run.stop_confirmed_at < sent);
       if (is_refused || is_over_deadline) {
         missing.push_back(
             {key,
@@ -790,21 +837,27 @@
              is_refused ? EndEvidence::kNotListed
                         : EndEvidence::kDeadlinePassed});
       }
-    } else if (run.start_calls >= kMaxStartCalls && is_over_deadline) {
+    } else if (is_stale) {
+      missing.push_back(
+          {key, RunOutcome::kNotStarted, EndEvidence::kStartRefused});
+    } else if (is_over_deadline) {
+      // The worker refuses every copy of the start from now on.
       missing.push_back(
           {key, RunOutcome::kNotStarted, EndEvidence::kDeadlinePassed});
     }
   }
   for (const auto& [key, outcome, evidence] : missing) {
     const Reason stop_reason = runs_.at(key).stop_reason;
-    const Reason reason =
-        stop_reason != Reason::kNone ? stop_reason : Reason::kRunInterrupted;
+    Reason reason = stop_reason;
+    if (reason == Reason::kNone && outcome == RunOutcome::kLost) {
+      reason = Reason::kRunInterrupted;
+    } else if (reason == Reason::kNone) {
+      reason = evidence == EndEvidence::kStartRefused ? Reason::kStaleAttempt
+                                                      : Reason::kGrantLost;
+    }
     health_.OnInconclusive();
-    EndRun(key, outcome,
-           outcome == RunOutcome::kNotStarted && stop_reason == Reason::kNone
-               ? Reason::kGrantLost
-               : reason,
-           Elapsed(runs_.at(key).received_at, now), evidence);
+    EndRun(key, outcome, reason, Elapsed(runs_.at(key).received_at, now),
+           evidence);
   }
 }
 
@@ -902,6 +955,7 @@
   // Runs of an earlier process of this guard may still occupy capacity that is
   // not included in `used_`.
   if (!is_settled_) return ServingState::kAbsent;
+  if (refuses_connections_ || is_withdrawn_) return ServingState::kAbsent;
   if (now - last_answer_ > options_.silent_after) return ServingState::kAbsent;
   // The worker does not carry out a stop, so its lease is about to expire.
   if (LeaseLimit(now) < now + options_.shortest_lease) {
@@ -1010,7 +1064,8 @@
                 std::nullopt, wait};
   // A call to an unresponsive worker may be carried out late. It must not renew
   // the leases of runs that this guard has given up by then.
-  const bool is_silent = now - last_answer_ > options_.renew_until;
+  const bool is_silent =
+      refuses_connections_ || now - last_answer_ > options_.renew_until;
   if (is_silent) call.wait = Millis(0);
   if (!runs_.empty() && !is_silent) {
     call.deadline = LeaseDeadline(now);
@@ -1021,6 +1076,7 @@
 
 bool RunSupervisor::NeedsImmediatePoll(Instant now) const {
   if (immediate_poll_in_flight_ || runs_.size() == queue_.size()) return false;
+  if (must_poll_now_) return true;
   const bool lost_recently = now - last_lost_poll_ < options_.loss_window;
   const Millis after = lost_recently ? options_.immediate_poll_after_loss
                                      : options_.immediate_poll_after;
@@ -1038,6 +1094,7 @@
         SendPoll{worker_generation_, false, NextPoll(wait, now)});
   } else if (worker_ && NeedsImmediatePoll(now)) {
     immediate_poll_in_flight_ = true;
+    must_poll_now_ = false;
     immediate_poll_sent_at_ = now;
     actions_.emplace_back(
         SendPoll{worker_generation_, true, NextPoll(Millis(0), now)});
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -89,7 +89,7 @@
   kEndListed,       // The worker listed the end.
   kNotListed,       // A poll sent after the start or stop did not list the run.
   kDeadlinePassed,  // The same, and the deadline of the start has passed.
-  kWorkerGone,      // The worker's incarnation has ended.
+  kWorkerGone,      // Another incarnation of the worker is known.
   kLeaseExpired     // The worker is silent and its lease has expired.
 };
 std::string_view EndEvidenceName(EndEvidence evidence);
@@ -136,7 +136,7 @@
 
   // Events of the worker.
   void OnAnnouncement(const WorkerAnnouncement& announcement, Instant now);
-  void OnWithdrawn(const std::string& worker_id);
+  void OnWithdrawn(const WorkerIncarnation& incarnation, Instant now);
   void OnStartReply(const SendStart& start, const WorkerReply& reply,
                     Instant now);
   void OnStopReply(const SendStop& stop, const WorkerReply& reply, Instant now);
@@ -182,9 +182,11 @@
     uint32_t percent = 0;   // Last reported progress.
     Instant progressed_at;  // When `percent` last changed.
     uint32_t start_calls = 0;
-    // Deadline of the newest start call, on the worker's clock.
+    // Latest deadline of the start calls, on the worker's clock.
     std::optional<Millis> start_deadline;
     bool may_have_started = false;
+    // When the worker first refused a repeated start as stale: the run is over.
+    std::optional<Instant> stale_since;
     bool stop_confirmed = false;
     Instant stop_confirmed_at;
     Instant stop_began_at;  // When the first stop call was sent.
@@ -233,6 +235,7 @@
   // Time until the lease that the newest renewal asked for expires, on the
   // estimated clock of the worker. Negative once it has expired.
   Millis LeaseLeft(Instant now) const;
+  void OnConnectionRefused(Instant now);
   void OnEnded(const PollReply::Ended& ended, Instant now);
   void ReconcileRunning(const PollReply& reply, Instant sent, Instant now);
   void UpdateSlowness(const PollReply& reply, Instant now);
@@ -240,6 +243,7 @@
   void EndMissingRuns(const PollReply& reply, Instant sent, Instant now);
   void BeginIncarnation(const WorkerAnnouncement& announcement, Instant now);
   void EndIncarnation(Reason reason);
+  void GiveUpWorker(Instant now);
   // The deadline to send with a call that renews the worker's lease, on the
   // worker's clock. Nothing if the clock is not known or if the lease must not
   // be extended.
@@ -279,8 +283,13 @@
   bool is_stopping_ = false;
   // No run that an earlier process of this guard started can still be running.
   bool is_settled_ = false;
+  // The worker's address refused the newest connection that a poll needed.
+  bool refuses_connections_ = false;
+  // The worker's incarnation has said that it is about to end.
+  bool is_withdrawn_ = false;
   bool long_poll_in_flight_ = false;
   bool immediate_poll_in_flight_ = false;
+  bool must_poll_now_ = false;  // The next immediate poll must not be delayed.
   Instant long_poll_sent_at_;
   Instant immediate_poll_sent_at_;
   Instant next_long_poll_at_;
--- a/src/http/http_client_connection.cc
+++ b/src/http/http_client_connection.cc
@@ -59,8 +59,7 @@
         if (socket != self->socket_) return;
         if (error) {
           self->Drop();
-          // Distinguishes a refused connection, which shows that no process
-          // listens, from an attempt that timed out.
+          // Distinguishes a refused connection from an attempt that timed out.
           return self->Finish(error == asio::error::connection_refused
                                   ? HttpFault::kUnreachable
                                   : HttpFault::kNoAnswer);
@@ -82,6 +81,12 @@
   std::error_code error;
   const size_t taken = socket_->write_some(asio::buffer(output_), error);
   if (error && error != asio::error::would_block) {
+    // The server has closed the kept connection. Nothing was sent on it, so the
+    // request may be sent on a new one.
+    if (is_reused_) {
+      Drop();
+      return Connect();
+    }
     return OnConnectionError(error);
   }
   if (taken == output_.size()) return;
@@ -133,9 +138,8 @@
     parser_->put_eof(ended);
     if (!ended && parser_->is_done()) return Finish(HttpFault::kNone);
   }
-  // The server closed the idle connection before it read the request, so the
-  // request is sent again on a new one.
-  if (is_reused_ && !parser_->got_some()) return Connect();
+  // The server may have received the request, so it is not sent again: the
+  // answer to a second copy would say nothing about the first one.
   Finish(HttpFault::kNoAnswer);
 }
 
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -279,6 +279,61 @@
   EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
 }
 
+// Guards against a task that never ends: the worker refuses the second call of
+// a start whose first call got no answer, and then no call is left to repeat.
+TEST_F(RunSupervisorTest, AStartThatIsRefusedWhenRepeatedEndsAtItsDeadline) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(20));
+  CollectActions(20);
+  ASSERT_EQ(starts_.size(), 2U);
+  supervisor_.OnStartReply(starts_[1],
+                           {WorkerVerdict::kUnhealthy, std::nullopt}, At(21));
+  // The first call may still be carried out.
+  AnswerPoll(500, {}, {});
+  EXPECT_EQ(supervisor_.used().cpu_millis, 4000);
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(1100, {}, {});
+  EXPECT_EQ(supervisor_.used().cpu_millis, 0);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+}
+
+// Guards against two runs of one task: a repeated start may carry an earlier
+// deadline than the first one, which may still be carried out until its own.
+TEST_F(RunSupervisorTest, AnUnansweredStartEndsOnlyAtItsLatestDeadline) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  PlaceOrders(20, {}, {1});
+  for (int64_t ms = 200; ms <= 900; ms += 100) {
+    EchoReport(kSession, ms);
+    supervisor_.OnTimer(At(ms));
+    CollectActions(ms);
+    AnswerPoll(ms, {{"t1", 1, static_cast<uint32_t>(ms / 100)}}, {});
+  }
+  // The stop of t1 is not carried out, so the lease is not extended beyond
+  // 1220 ms.
+  PlaceOrders(905, {MakeOrder(2, "t2")});
+  ASSERT_EQ(starts_.size(), 2U);
+  const Millis first_deadline = starts_[1].call.deadline;
+  EXPECT_EQ(first_deadline, Millis(100'000 + 1220));
+  for (int64_t ms = 1300; ms <= 1310; ms += 10) {
+    supervisor_.OnStartReply(starts_.back(),
+                             {WorkerVerdict::kNoAnswer, std::nullopt}, At(ms));
+    CollectActions(ms);
+  }
+  ASSERT_EQ(starts_.size(), 4U);
+  EXPECT_LT(starts_.back().call.deadline, first_deadline);
+  PollReply early;
+  early.verdict = WorkerVerdict::kAccepted;
+  early.started_at = worker_started_at_;
+  early.worker_clock = first_deadline - Millis(10);
+  early.running = {{"t1", 1, 10}};
+  supervisor_.OnPollReply(long_poll_, early, At(1315), At(1315));
+  CollectActions(1315);
+  EXPECT_TRUE(ends_.empty());
+}
+
 TEST_F(RunSupervisorTest, StopsRunsThatItDidNotStart) {
   AnswerPoll(50, {{"foreign", 3, 10}}, {});
   ASSERT_EQ(stops_.size(), 1U);
@@ -354,6 +409,226 @@
   EXPECT_GE(lost_at, 1020);
 }
 
+// Guards against two runs of one task: a fault of the network may refuse
+// connections to a worker that runs on.
+TEST_F(RunSupervisorTest, ARefusedConnectionEndsNoRunThatMayHaveStarted) {
+  PlaceOrders(10, {MakeOrder(1, "t1", 32'000)});
+  AcceptStart(starts_[0], 11);
+  PlaceOrders(12, {MakeOrder(2, "t2")});
+  PollReply refused;
+  refused.verdict = WorkerVerdict::kUnreachable;
+  supervisor_.OnPollReply(long_poll_, refused, At(50), At(50));
+  CollectActions(50);
+  // The queued run is given back at once, the started one is kept.
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].number, 2U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(supervisor_.used().cpu_millis, 32'000);
+  EXPECT_EQ(reports_[kSession].state, ServingState::kAbsent);
+  PlaceOrders(60, {MakeOrder(3, "t3")});
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].number, 3U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kNotStarted);
+  // The worker answers again, and still has the run.
+  supervisor_.OnTimer(At(110));
+  CollectActions(110);
+  AnswerPoll(110, {{"t1", 1, 10}}, {});
+  EXPECT_EQ(supervisor_.state(At(110)), ServingState::kServing);
+  AnswerPoll(150, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 3U);
+  EXPECT_EQ(ends_[2].outcome, RunOutcome::kDone);
+}
+
+// A worker that crashed refuses connections. Its runs are lost when their lease
+// has expired, which the refused polls must not extend, nor must they be sent
+// without a pause.
+TEST_F(RunSupervisorTest,
+       RunsOfAWorkerThatRefusesConnectionsEndWithTheirLease) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  AnswerPoll(40, {{"t1", 1, 10}}, {});
+  PollReply refused;
+  refused.verdict = WorkerVerdict::kUnreachable;
+  int64_t lost_at = 0;
+  int polls = 0;
+  bool is_polling = true;
+  for (int64_t ms = 50; ms <= 4000 && lost_at == 0; ms += 10) {
+    if (ms % 100 == 0) EchoReport(kSession, ms);
+    if (is_polling) {
+      supervisor_.OnPollReply(long_poll_, refused, At(ms), At(ms));
+    }
+    supervisor_.OnTimer(At(ms));
+    const auto due = ActionsOfType<SendPoll>(CollectActions(ms));
+    is_polling = false;
+    for (const SendPoll& poll : due) {
+      ++polls;
+      EXPECT_FALSE(poll.call.deadline);
+      if (!poll.is_immediate) is_polling = true;
+    }
+    if (!ends_.empty()) lost_at = ms;
+  }
+  ASSERT_FALSE(ends_.empty());
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+  // The lease was last extended at 40 ms.
+  EXPECT_GE(lost_at, 1040);
+  EXPECT_LE(lost_at, 1300);
+  EXPECT_LE(polls, 60);
+}
+
+// A crashed worker that is back, as another incarnation, has no earlier run.
+TEST_F(RunSupervisorTest, ANewIncarnationAfterRefusedConnectionsEndsTheRuns) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kUnreachable;
+  supervisor_.OnPollReply(long_poll_, reply, At(50), At(50));
+  CollectActions(50);
+  EXPECT_TRUE(ends_.empty());
+  CollectActions(110);
+  reply.verdict = WorkerVerdict::kOtherIncarnation;
+  supervisor_.OnPollReply(long_poll_, reply, At(110), At(111));
+  CollectActions(111);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+}
+
+// Guards against a loop of polls to a worker whose connections are reset.
+TEST_F(RunSupervisorTest, APollThatIsLostAtOnceIsNotRepeatedAtOnce) {
+  CollectActions(20);
+  const PollReply no_answer;
+  supervisor_.OnPollReply(long_poll_, no_answer, At(0), At(20));
+  EXPECT_TRUE(ActionsOfType<SendPoll>(CollectActions(20)).empty());
+  EXPECT_EQ(ActionsOfType<SendPoll>(CollectActions(60)).size(), 1U);
+}
+
+// Guards against two runs of one task: a worker may start again under its id,
+// and the withdrawal of its earlier incarnation may arrive late.
+TEST_F(RunSupervisorTest, AWithdrawalOfAnotherIncarnationIsIgnored) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnWithdrawn({"w", 999}, At(20));
+  supervisor_.OnWithdrawn({"other", 1000}, At(20));
+  CollectActions(20);
+  EXPECT_TRUE(ends_.empty());
+  EXPECT_EQ(supervisor_.state(At(20)), ServingState::kServing);
+}
+
+// Guards against two runs of one task: a worker withdraws before it ends, and a
+// withdrawal does not say when its runs end.
+TEST_F(RunSupervisorTest, AWithdrawnWorkerGetsNothingNewAndItsRunsAreTracked) {
+  PlaceOrders(10, {MakeOrder(1, "t1", 32'000)});
+  AcceptStart(starts_[0], 11);
+  PlaceOrders(12, {MakeOrder(2, "t2")});
+  supervisor_.OnWithdrawn({"w", 1000}, At(20));
+  CollectActions(20);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].number, 2U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(supervisor_.used().cpu_millis, 32'000);
+  // A heartbeat that was sent before the withdrawal does not revoke it.
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 2), At(25));
+  EXPECT_EQ(supervisor_.state(At(25)), ServingState::kAbsent);
+  AnswerPoll(30, {{"t1", 1, 10}}, {});
+  EXPECT_EQ(supervisor_.state(At(30)), ServingState::kAbsent);
+  AnswerPoll(60, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kDone);
+  EXPECT_EQ(supervisor_.state(At(60)), ServingState::kAbsent);
+  // The next incarnation serves.
+  worker_started_at_ = 2000;
+  supervisor_.OnAnnouncement(MakeAnnouncement(2000, 1), At(70));
+  CollectActions(70);
+  AnswerPoll(70, {}, {});
+  EXPECT_EQ(supervisor_.state(At(70)), ServingState::kServing);
+}
+
+// A worker that leaves as a rule has no runs; there is nothing to wait for.
+TEST_F(RunSupervisorTest, AnIdleWorkerThatWithdrawsIsNotPolledAnyMore) {
+  supervisor_.OnWithdrawn({"w", 1000}, At(20));
+  EXPECT_FALSE(supervisor_.worker());
+  EXPECT_EQ(supervisor_.state(At(20)), ServingState::kAbsent);
+  EXPECT_TRUE(ActionsOfType<SendPoll>(CollectActions(500)).empty());
+}
+
+// Guards against a start after a run has ended done: the first copy of a start
+// may have run and ended before the worker refuses the second copy as stale.
+TEST_F(RunSupervisorTest, AStaleRepeatedStartDoesNotHideTheEndOfTheFirst) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(90));
+  CollectActions(90);
+  ASSERT_EQ(starts_.size(), 2U);
+  const int polls_before = immediate_poll_count_;
+  supervisor_.OnStartReply(
+      starts_[1], {WorkerVerdict::kStaleAttempt, Millis(100'092)}, At(92));
+  CollectActions(92);
+  EXPECT_TRUE(ends_.empty());
+  EXPECT_EQ(supervisor_.used().cpu_millis, 4000);
+  ASSERT_EQ(immediate_poll_count_, polls_before + 1);
+  // An answer to a poll that was sent before decides nothing unless it lists
+  // the end.
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kAccepted;
+  reply.worker_clock = Millis(100'093);
+  reply.started_at = worker_started_at_;
+  supervisor_.OnPollReply(long_poll_, reply, At(50), At(93));
+  CollectActions(93);
+  EXPECT_TRUE(ends_.empty());
+  reply.ended = {{1, "t1", 1, RunEnding::kDone}};
+  supervisor_.OnPollReply(immediate_poll_, reply, At(93), At(94));
+  CollectActions(94);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kDone);
+}
+
+// An earlier job with the same id used the attempt number. The entry needs to
+// know soon, to use another one.
+TEST_F(RunSupervisorTest, AStaleAttemptIsReportedAfterOnePoll) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(90));
+  CollectActions(90);
+  supervisor_.OnStartReply(
+      starts_[1], {WorkerVerdict::kStaleAttempt, Millis(100'092)}, At(92));
+  CollectActions(92);
+  EXPECT_TRUE(ends_.empty());
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kAccepted;
+  reply.worker_clock = Millis(100'093);
+  reply.started_at = worker_started_at_;
+  supervisor_.OnPollReply(immediate_poll_, reply, At(93), At(94));
+  CollectActions(94);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[0].reason, Reason::kStaleAttempt);
+  // Only one call was sent for this start, so it was refused and did not run.
+  PlaceOrders(100, {MakeOrder(2, "t2")});
+  supervisor_.OnStartReply(
+      starts_.back(), {WorkerVerdict::kStaleAttempt, Millis(100'101)}, At(101));
+  CollectActions(101);
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[1].reason, Reason::kStaleAttempt);
+}
+
+// Guards against a start after a run has ended done: a refusal of an earlier
+// copy may arrive when the run is known to have started.
+TEST_F(RunSupervisorTest, ALateStaleAnswerDoesNotEndAConfirmedRun) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(20));
+  CollectActions(20);
+  ASSERT_EQ(starts_.size(), 2U);
+  AnswerPoll(25, {{"t1", 1, 1}}, {});
+  supervisor_.OnStartReply(
+      starts_[1], {WorkerVerdict::kStaleAttempt, Millis(100'130)}, At(130));
+  CollectActions(130);
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(132, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kDone);
+}
+
 // Guards against a worker that does not answer some calls under load: ends, and
 // the capacity that they free, must not wait for the timeout of a poll.
 TEST_F(RunSupervisorTest, ALostPollDoesNotDelayEnds) {
