Take the runs of a replaced connection as out of reach

Cause: OnGuardUp for a guard whose earlier connection was not reported to have ended began a new connection and left the runs of the old one as they were: neither out of reach, so that no report and no lease released them, nor known to the new session of the guard. A run whose order was lost with the old connection stayed open for ever, and so did its job's leftovers, behind which the same job, submitted again, waits. Class: a state that is left by one event only, which need not come. Evidence: ARunOfAReplacedConnectionIsReleasedByTheNextReport failed before (one order, two expected). By reading, PeerNetwork reports the end of a connection first on each way but one: Node drops the links of removed members without telling its handler, though links to guards keep their members from that. Change: OnGuardUp ends the earlier connection first.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -594,8 +594,9 @@
 // Guards.
 
 void JobScheduler::OnGuardUp(Address address, Incarnation guard, Instant now) {
+  // The end of the earlier connection may not have been reported.
+  OnGuardDown(guard, now);
   workers_.OnGuardConnected(address, guard, now);
-  outgoing_.erase(guard);
   log_->Record("guard_up", {{"guard", address.ToString()}});
 }
 
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -176,6 +176,23 @@
   EXPECT_EQ(stops_.size(), 1U);
 }
 
+// Guards against a run that stays open for ever: its order was lost with a
+// connection that was replaced before its end was reported.
+TEST_F(JobSchedulerTest, ARunOfAReplacedConnectionIsReleasedByTheNextReport) {
+  ConnectGuard(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  const Address address{1, static_cast<uint16_t>(kGuardA.value)};
+  scheduler_.OnGuardUp(address, kGuardA, At(20));
+  RunReport unended = MakeReport(2, 4000);
+  unended.earlier_runs = 1;
+  scheduler_.OnReport(kGuardA, unended, At(30));
+  CollectActions(30);
+  EXPECT_EQ(orders_.size(), 1U);
+  scheduler_.OnReport(kGuardA, MakeReport(3), At(60));
+  CollectActions(60);
+  EXPECT_EQ(orders_.size(), 2U);
+}
+
 TEST_F(JobSchedulerTest, AJobSubmittedAgainWaitsForTheRunsOfTheFirst) {
   ConnectGuard(kGuardA, 0);
   Submit(1, MakeJob("a", 1), 10);
