Start no task after a pause before callers are known to have left

Cause: an entry that did not run for a while (a freeze, or no processor time; no suspend, which has its own watch) handles what is ready then in the order in which asio finds it. A report that is handled before the end of a caller's connection made it send a task whose job the caller had submitted to another entry meanwhile, and the newest of the buffered reports gave the order a valid stamp. A request that had lain in the socket counted as new, was admitted, and its task ordered before the end of the same connection was read. Class: a permission that is used after it has run out. Evidence: AfterAPauseOfTheProcessNoTaskStartsBeforeCallersLeave and ARequestReadAfterAPauseMayBeAsOldAsThePause failed before (an order right after a pause of 1480 and 1500 ms). Change: a timer event that is more than 500 ms late marks a pause. Tasks are sent again from the second timer event after it on, between which the process has read all its sockets, and the callers of requests that are read until then have waited since the beginning of the pause. A caller sends its job again 1300 ms after it left, so that shorter pauses leave time for a stop.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -78,6 +78,7 @@
 
 void JobScheduler::OnJob(uint64_t caller, HeldJob job, Instant received,
                          Instant now) {
+  received = std::min(received, HandledUntil(now));
   const auto same = job_by_id_.find(job.id);
   if (same != job_by_id_.end()) {
     // The caller of a held job lost its connection and sent the job again.
@@ -347,8 +348,18 @@
           step.required_label, step.preferred_rack, task.avoid};
 }
 
+bool JobScheduler::IsTimerLate(Instant now) const {
+  return last_timer_at_ && now - *last_timer_at_ > options_.longest_pause;
+}
+
+Instant JobScheduler::HandledUntil(Instant now) const {
+  if (pause_began_at_) return *pause_began_at_;
+  return IsTimerLate(now) ? *last_timer_at_ : now;
+}
+
 void JobScheduler::Dispatch(Instant now) {
   is_dispatch_due_ = false;
+  if (HandledUntil(now) < now) return;
   int failed_placements = 0;
   for (auto item = waiting_.begin();
        item != waiting_.end() && failed_placements < kMaxFailedPlacements;) {
@@ -690,6 +701,15 @@
 // Timers and actions.
 
 void JobScheduler::OnTimer(Instant now) {
+  if (IsTimerLate(now)) {
+    pause_began_at_ = HandledUntil(now);
+    log_->Record("events_delayed",
+                 {{"pause_ms", Text(Elapsed(*pause_began_at_, now))},
+                  {"jobs", Text(jobs_.size())}});
+  } else {
+    pause_began_at_.reset();
+  }
+  last_timer_at_ = now;
   ExpireJobs(now);
   ExpireRuns(now);
   for (auto& [guard, record] : workers_.records()) {
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -35,6 +36,10 @@
   // A job that has not started is given up once it would end later than this
   // multiple of its objective: the answer would be of no use to the caller.
   int useful_objectives = 3;
+  // If the last timer event is older than this, the process could not handle
+  // its events, and may not know yet which callers have left. Less than the
+  // time after which a caller that lost its answer submits the job again.
+  Millis longest_pause{500};
   // Minimum time between checks of job deadlines while reports arrive.
   // Deadlines are in whole milliseconds, and runs take tens of milliseconds.
   Millis job_check_interval{10};
@@ -72,7 +77,8 @@
   void SetCatalog(std::shared_ptr<const Catalog> catalog, Instant now);
   // Admits or refuses a job, or joins the caller to the held job with the same
   // id. The request was read from the connection at `received`; the caller's
-  // wait is counted from then.
+  // wait is counted from then, or from the beginning of a pause of this process
+  // that has just ended.
   void OnJob(uint64_t caller, HeldJob job, Instant received, Instant now);
   // The caller closed its connection.
   void OnCallerLeft(uint64_t caller, Instant now);
@@ -195,7 +201,13 @@
   Instant StartByOf(const Job& job, const Task& task) const;
   PlacementNeed NeedOf(const Job& job, const Task& task) const;
 
-  // Sends waiting tasks to workers, until several of them found none.
+  // Whether the last timer event is older than `longest_pause`.
+  bool IsTimerLate(Instant now) const;
+  // Returns the time before which all events have been handled: `now`, or the
+  // beginning of a pause of this process that is not made up for yet.
+  Instant HandledUntil(Instant now) const;
+  // Sends waiting tasks to workers, until several of them found none. Sends
+  // none while events of a pause are unhandled.
   void Dispatch(Instant now);
   // Sends one task to a worker. Returns false if none can take it now.
   bool DispatchTask(Job* job, uint32_t task, Instant now);
@@ -243,6 +255,10 @@
   bool knows_all_workers_ = false;
   bool wants_more_workers_ = false;
   bool is_dispatch_due_ = false;  // Reports arrived since the last dispatch.
+  std::optional<Instant> last_timer_at_;
+  // Set from the first timer event after a pause until the next, as events that
+  // were ready when the pause ended may be handled after the first.
+  std::optional<Instant> pause_began_at_;
   Instant jobs_checked_at_;
   Instant finish_by_;
   std::shared_ptr<const Catalog> catalog_;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -193,6 +193,66 @@
   EXPECT_EQ(orders_.size(), 2U);
 }
 
+// Guards against two runs of one task: while the process did not run, a caller
+// may have left and submitted its job elsewhere, and a report is handled before
+// the end of the caller's connection.
+TEST_F(JobSchedulerTest,
+       AfterAPauseOfTheProcessNoTaskStartsBeforeCallersLeave) {
+  // The guard has too much queued work to be sent another task, and too little
+  // for the job to be refused.
+  RunReport full = MakeReport(1, 32'000);
+  full.queued_work = 3000;
+  ConnectGuard(kGuardA, 0, full);
+  scheduler_.OnTimer(At(0));
+  Submit(1, MakeJob("a", 1, 4000, 3000), 10);
+  ASSERT_TRUE(orders_.empty());
+  ASSERT_TRUE(answers_.empty());
+  scheduler_.OnTimer(At(20));
+  scheduler_.OnReport(kGuardA, MakeReport(1500), At(1500));
+  CollectActions(1500);
+  scheduler_.OnTimer(At(1501));
+  CollectActions(1501);
+  EXPECT_TRUE(orders_.empty());
+  scheduler_.OnCallerLeft(1, At(1502));
+  scheduler_.OnTimer(At(1521));
+  CollectActions(1521);
+  EXPECT_TRUE(orders_.empty());
+}
+
+// As above, with a caller that is still there.
+TEST_F(JobSchedulerTest, AfterAPauseOfTheProcessTheTasksOfOtherCallersStart) {
+  RunReport full = MakeReport(1, 32'000);
+  full.queued_work = 3000;
+  ConnectGuard(kGuardA, 0, full);
+  scheduler_.OnTimer(At(0));
+  Submit(1, MakeJob("a", 1, 4000, 3000), 10);
+  scheduler_.OnTimer(At(1500));
+  scheduler_.OnReport(kGuardA, MakeReport(1500), At(1501));
+  scheduler_.OnTimer(At(1520));
+  CollectActions(1520);
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
+// Guards against two runs of one task: a request may have lain in the socket
+// while the process did not run, so its caller's wait is counted from the pause
+// and it starts nothing before the caller's leaving would have been noticed.
+TEST_F(JobSchedulerTest, ARequestReadAfterAPauseMayBeAsOldAsThePause) {
+  ConnectGuard(kGuardA, 0);
+  scheduler_.OnTimer(At(0));
+  scheduler_.OnReport(kGuardA, MakeReport(1500), At(1500));
+  HeldJob job = MakeJob("a", 1);
+  job.caller_timeout = Millis(1510);
+  Submit(1, job, 1501);
+  EXPECT_TRUE(orders_.empty());
+  scheduler_.OnTimer(At(1502));
+  CollectActions(1502);
+  EXPECT_TRUE(orders_.empty());
+  scheduler_.OnTimer(At(1522));
+  CollectActions(1522);
+  EXPECT_TRUE(orders_.empty());
+  EXPECT_TRUE(answers_.contains(1));
+}
+
 TEST_F(JobSchedulerTest, AJobSubmittedAgainWaitsForTheRunsOfTheFirst) {
   ConnectGuard(kGuardA, 0);
   Submit(1, MakeJob("a", 1), 10);
