Show that a request from a pause of the entry starts nothing

Evidence: ARequestWhoseCallerLeftInAPauseOfTheEntryStartsNothing, with real processes: an entry is stopped by a signal for 1.7 s, a caller submits a job and leaves after 0.4 s.

--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -76,6 +76,19 @@
   EXPECT_EQ(HandIn(0, NextId(), 1, 10), 200);
 }
 
+// Guards against two runs of one task: the caller may have sent the job to
+// another entry meanwhile.
+TEST_F(HeldPathTest, ARequestWhoseCallerLeftInAPauseOfTheEntryStartsNothing) {
+  const std::string id = NextId();
+  cluster_.entry(0).Signal(SIGSTOP);
+  EXPECT_EQ(HandIn(0, id, 1, 1000, "/q/", 400), 0);
+  std::this_thread::sleep_for(Millis(1300));
+  cluster_.entry(0).Signal(SIGCONT);
+  std::this_thread::sleep_for(Millis(500));
+  EXPECT_EQ(ledger_.starts_of(id), 0);
+  EXPECT_EQ(HandIn(0, NextId(), 1, 10), 200);
+}
+
 TEST_F(HeldPathTest, AStoppingEntryAnswersWhatItHolds) {
   int status = -1;
   std::thread caller([&] { status = HandIn(0, NextId(), 2, 1000); });
