Look for a start's run at the next incarnation of its worker

Callers saw: a task with two runs at the same time (TWICE). Cause: calls name the worker's id, and a worker may start again under its id. A start that was sent to the former incarnation, or was accepted by the next one before the guard knew of it, may run there. The supervisor reported all runs lost as soon as it knew of the next incarnation, and the entry repeated the task while that run went on until it was found as a foreign one. Class: an end concluded from an answer that does not prove it. Change: a start call whose answer did not come, or came with a clock that is not the known incarnation's, is open. Runs with open calls are kept when an incarnation with the same id follows. They are stopped there with the raised token, after which no earlier call can be carried out, and end when an answer proves it. All other runs are reported lost at once, as before, and so are all runs if the id is another one. Runs that are kept while no worker is known still end with the lease.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -131,7 +131,7 @@
 
 void RunSupervisor::BeginIncarnation(const WorkerAnnouncement& announcement,
                                      Instant now) {
-  EndIncarnation(Reason::kWorkerLost);
+  EndIncarnation(announcement.incarnation.id, now);
   worker_ = announcement;
   ++offer_version_;
   last_end_number_ = 0;
@@ -146,7 +146,9 @@
                {{"worker", worker_->incarnation.id},
                 {"started_at", Text(worker_->incarnation.started_at)},
                 {"service", worker_->service},
-                {"fence", Text(fence_.value())}});
+                {"fence", Text(fence_.value())},
+                {"runs", Text(runs_.size())}});
+  for (auto& [key, run] : runs_) CallStop(&run, now);
   MarkLoadChanged();
 }
 
@@ -174,14 +176,33 @@
 // if no other runs are tracked.
 void RunSupervisor::GiveUpWorker(Instant now) {
   EndQueuedRuns(Reason::kBackendAbsent);
-  if (runs_.empty()) EndIncarnation(Reason::kWorkerLost);
+  if (runs_.empty()) EndIncarnation({}, now);
   CheckWorker(now);
 }
 
 // Called when no run of the current incarnation of the worker can still be
-// running.
-void RunSupervisor::EndIncarnation(Reason reason) {
-  EndAllRuns(reason, EndEvidence::kWorkerGone);
+// running. A next incarnation with the same id may carry out starts that were
+// sent to the current one, until it knows the raised fencing token. Runs with
+// such starts are kept and stopped there.
+void RunSupervisor::EndIncarnation(std::string_view next_id, Instant now) {
+  std::vector<RunKey> ended;
+  for (auto& [key, run] : runs_) {
+    if (run.open_start_calls == 0 || run.worker_id != next_id) {
+      ended.push_back(key);
+      continue;
+    }
+    if (run.phase != Phase::kStopping) {
+      run.phase = Phase::kStopping;
+      run.stop_reason = Reason::kWorkerLost;
+      run.stop_began_at = now;
+    }
+    run.may_have_started = true;
+    run.stop_confirmed = false;
+    run.start_deadline.reset();
+    run.stale_since.reset();
+    LimitRun(&run, now);
+  }
+  for (const RunKey& key : ended) EndLostRun(key, EndEvidence::kWorkerGone);
   worker_.reset();
   lease_end_ = Millis(0);
   ++offer_version_;
@@ -426,6 +447,8 @@
       std::max(run->start_deadline.value_or(deadline), deadline);
   run->start_sent_at = now;
   ++run->start_calls;
+  ++run->open_start_calls;
+  run->worker_id = worker_->incarnation.id;
   NoteRenewal(deadline, now);
   actions_.emplace_back(
       SendStart{run->key, worker_generation_,
@@ -436,10 +459,15 @@
 void RunSupervisor::OnStartReply(const SendStart& start,
                                  const WorkerReply& reply, Instant now) {
   if (start.worker_generation != worker_generation_) return;
+  const bool fits_clock = FitsWorkerClock(reply.worker_clock, now);
   clock_.Update(reply.worker_clock, now);
   const auto found = runs_.find(start.key);
   if (found == runs_.end()) return;
   Run& run = found->second;
+  if (reply.verdict != WorkerVerdict::kNoAnswer &&
+      (reply.verdict != WorkerVerdict::kAccepted || fits_clock)) {
+    --run.open_start_calls;
+  }
   switch (reply.verdict) {
     case WorkerVerdict::kAccepted:
       run.may_have_started = true;
@@ -601,14 +629,24 @@
   MarkLoadChanged();
 }
 
-void RunSupervisor::EndAllRuns(Reason reason, EndEvidence evidence) {
-  while (!runs_.empty()) {
-    const Run& run = runs_.begin()->second;
-    const bool has_started = run.phase == Phase::kRunning ||
-                             run.may_have_started || run.start_calls > 0;
-    EndRun(run.key, has_started ? RunOutcome::kLost : RunOutcome::kNotStarted,
-           has_started ? reason : Reason::kBackendAbsent, Millis(0), evidence);
-  }
+void RunSupervisor::EndLostRun(RunKey key, EndEvidence evidence) {
+  const Run& run = runs_.at(key);
+  const bool has_started = run.phase == Phase::kRunning ||
+                           run.may_have_started || run.start_calls > 0;
+  EndRun(key, has_started ? RunOutcome::kLost : RunOutcome::kNotStarted,
+         has_started ? Reason::kWorkerLost : Reason::kBackendAbsent, Millis(0),
+         evidence);
+}
+
+// An incarnation of the worker has a clock of its own, so a reading that does
+// not fit the estimate is from another one.
+bool RunSupervisor::FitsWorkerClock(const std::optional<Millis>& reading,
+                                    Instant now) const {
+  const std::optional<Millis> estimate = clock_.At(now);
+  if (!estimate || !reading) return false;
+  const Millis difference = *reading - *estimate;
+  return difference <= options_.longest_lease &&
+         -difference <= options_.longest_lease;
 }
 
 void RunSupervisor::OnPollReply(const SendPoll& hold, const PollReply& reply,
@@ -633,7 +671,7 @@
                     {"verdict", std::string(WorkerVerdictName(reply.verdict))},
                     {"answer_age_ms", Text(Elapsed(last_answer_, now))},
                     {"runs", Text(runs_.size())}});
-      EndIncarnation(Reason::kWorkerLost);
+      EndIncarnation({}, now);
       return;
     case WorkerVerdict::kNoAnswer:
       last_lost_poll_ = now;
@@ -649,7 +687,8 @@
                                  {"started_at", Text(present)},
                                  {"now_started_at", Text(reply.started_at)},
                                  {"runs", Text(runs_.size())}});
-    EndIncarnation(Reason::kWorkerLost);
+    // The answer is to a call that named the id.
+    EndIncarnation(hold.call.incarnation.id, now);
     return;
   }
   clock_.Update(reply.worker_clock, now);
@@ -909,14 +948,16 @@
     is_settled_ = true;
     MarkLoadChanged();
   }
-  if (worker_ && !runs_.empty() && now - last_renewal_ > LeaseDuration() &&
+  if (!runs_.empty() && now - last_renewal_ > LeaseDuration() &&
       now - last_answer_ > options_.silent_after) {
     log_->Record("worker_silent",
-                 {{"worker", worker_->incarnation.id},
+                 {{"worker", worker_ ? worker_->incarnation.id : ""},
                   {"answer_age_ms", Text(Elapsed(last_answer_, now))},
                   {"renewal_age_ms", Text(Elapsed(last_renewal_, now))},
                   {"runs", Text(runs_.size())}});
-    EndAllRuns(Reason::kWorkerLost, EndEvidence::kLeaseExpired);
+    while (!runs_.empty()) {
+      EndLostRun(runs_.begin()->first, EndEvidence::kLeaseExpired);
+    }
   }
   const ServingState present = state(now);
   if (present != reported_state_) {
@@ -939,7 +980,7 @@
     if (run.phase == Phase::kQueued && now >= run.useful_by) {
       expired.push_back(key);
     } else if (run.phase == Phase::kStopping && !run.stop_confirmed &&
-               now - run.stop_sent_at >= options_.stop_retry) {
+               worker_ && now - run.stop_sent_at >= options_.stop_retry) {
       CallStop(&run, now);
     }
   }
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -182,6 +182,10 @@
     uint32_t percent = 0;   // Last reported progress.
     Instant progressed_at;  // When `percent` last changed.
     uint32_t start_calls = 0;
+    // Start calls that an incarnation of the worker which is not known yet may
+    // have carried out, or may carry out.
+    uint32_t open_start_calls = 0;
+    std::string worker_id;  // Named in the start calls.
     // Latest deadline of the start calls, on the worker's clock.
     std::optional<Millis> start_deadline;
     bool may_have_started = false;
@@ -231,7 +235,9 @@
   void EndQueuedRuns(Reason reason);
   void EndRun(RunKey key, RunOutcome outcome, Reason reason, Millis run_time,
               EndEvidence evidence);
-  void EndAllRuns(Reason reason, EndEvidence evidence);
+  // Ends a run whose worker is lost.
+  void EndLostRun(RunKey key, EndEvidence evidence);
+  bool FitsWorkerClock(const std::optional<Millis>& reading, Instant now) const;
   // Time until the lease that the newest renewal asked for expires, on the
   // estimated clock of the worker. Negative once it has expired.
   Millis LeaseLeft(Instant now) const;
@@ -242,7 +248,8 @@
   bool IsStraggler(Run* run, uint32_t percent, Instant now) const;
   void EndMissingRuns(const PollReply& reply, Instant sent, Instant now);
   void BeginIncarnation(const WorkerAnnouncement& announcement, Instant now);
-  void EndIncarnation(Reason reason);
+  // `next_id` is the id of the incarnation that is known to follow, or empty.
+  void EndIncarnation(std::string_view next_id, Instant now);
   void GiveUpWorker(Instant now);
   // The deadline to send with a call that renews the worker's lease, on the
   // worker's clock. Nothing if the clock is not known or if the lease must not
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -629,6 +629,65 @@
   EXPECT_EQ(ends_[0].outcome, RunOutcome::kDone);
 }
 
+// Guards against two runs of one task: calls name the worker's id, so a worker
+// that starts again under its id may carry out a start that was sent to its
+// earlier incarnation.
+TEST_F(RunSupervisorTest, AnUnansweredStartMayRunOnTheNextIncarnation) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  ASSERT_EQ(starts_.size(), 1U);
+  worker_started_at_ = 2000;
+  supervisor_.OnAnnouncement(MakeAnnouncement(2000, 1), At(20));
+  CollectActions(20);
+  EXPECT_TRUE(ends_.empty());
+  EXPECT_EQ(supervisor_.used().cpu_millis, 4000);
+  ASSERT_EQ(stops_.size(), 1U);
+  EXPECT_EQ(stops_[0].call.incarnation.started_at, 2000U);
+  EXPECT_GT(stops_[0].call.fence, starts_[0].call.fence);
+  AnswerPoll(21, {{"t1", 1, 1}}, {});
+  EXPECT_TRUE(ends_.empty());
+  supervisor_.OnStopReply(stops_[0], {WorkerVerdict::kAccepted, std::nullopt},
+                          At(22));
+  AnswerPoll(25, {}, {});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+  EXPECT_EQ(supervisor_.used().cpu_millis, 0);
+}
+
+// The same if the next incarnation accepted the start before it was known. Its
+// clock tells that it is another one.
+TEST_F(RunSupervisorTest, AStartThatTheNextIncarnationAcceptedIsTracked) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  supervisor_.OnStartReply(starts_[0], {WorkerVerdict::kAccepted, Millis(40)},
+                           At(12));
+  CollectActions(12);
+  worker_started_at_ = 2000;
+  AnswerPoll(15, {{"t1", 1, 1}}, {});
+  EXPECT_TRUE(ends_.empty());
+  supervisor_.OnTimer(At(200));
+  CollectActions(200);
+  EXPECT_TRUE(ends_.empty());
+  WorkerAnnouncement next = MakeAnnouncement(2000, 1);
+  next.worker_clock = Millis(230);
+  supervisor_.OnAnnouncement(next, At(210));
+  CollectActions(210);
+  ASSERT_EQ(stops_.size(), 1U);
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(211, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kDone);
+}
+
+// A worker with another id refuses the calls to its predecessor.
+TEST_F(RunSupervisorTest, AWorkerWithAnotherIdHasNoRunOfThePredecessor) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  WorkerAnnouncement next = MakeAnnouncement(2000, 1);
+  next.incarnation.id = "v";
+  supervisor_.OnAnnouncement(next, At(20));
+  CollectActions(20);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+}
+
 // Guards against a worker that does not answer some calls under load: ends, and
 // the capacity that they free, must not wait for the timeout of a poll.
 TEST_F(RunSupervisorTest, ALostPollDoesNotDelayEnds) {
