Notice that a caller left after bytes that follow its request

Cause: while a request is held, the session waits for the socket to be readable, and stopped watching once the caller had sent further bytes, as a stray line end or the next request. The end of the connection was not seen until the answer, so that the job went on for a caller that sent it again elsewhere 1300 ms later. Class: an event that a party relies on and does not look for any more. Evidence: ReportsThatACallerDisconnectedAfterFurtherBytes failed before (no report within 5 s). Bytes stay unread as before.

--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -1,5 +1,6 @@
 #include "http/http_session.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <asio/buffer.hpp>
@@ -199,12 +200,17 @@
             recv(self->socket_.native_handle(), &byte, 1, MSG_PEEK);
         const bool is_open =
             size > 0 || (size < 0 && (errno == EAGAIN || errno == EINTR));
-        // If the client has sent further bytes instead of closing, the
-        // connection is no longer watched.
+        // If the client has sent further bytes instead of closing, the socket
+        // stays readable, and CheckTime looks for the end of the connection.
         if (!is_open) self->Close();
       });
 }
 
+bool HttpSession::HasClientClosed() {
+  pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0;
+}
+
 // Reads and discards the client's bytes until it closes the connection. Closing
 // with unread bytes would reset the connection, and the client could lose the
 // response.
@@ -272,6 +278,8 @@
       is_over = age > kLingerTimeout;
       break;
     case Phase::kHolding:
+      is_over = !is_close_watched_ && HasClientClosed();
+      break;
     case Phase::kClosed:
       break;
   }
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -34,7 +34,7 @@
   void Start() { Read(); }
   void Respond(const HttpResponse& response);
   // Closes the connection if its client has exceeded the timeout of the present
-  // phase.
+  // phase, or has closed it unnoticed.
   void CheckTime(Instant now);
   void Close();
 
@@ -68,6 +68,7 @@
   HttpRequest TakeRequest();
   void Hold();
   void AwaitClose();
+  bool HasClientClosed();
   void Drain();
   void Send(std::string text);
   void OnSent();
--- a/tests/event_http_server_test.cc
+++ b/tests/event_http_server_test.cc
@@ -142,6 +142,23 @@
   EXPECT_EQ(caller.Exchange(Get("/b")).body, "/b,");
 }
 
+// Guards against a job that goes on without its caller, who sends it again
+// elsewhere: bytes after the request hid the end of the connection.
+TEST_F(EventHttpServerTest, ReportsThatACallerDisconnectedAfterFurtherBytes) {
+  {
+    const RawConnection client(address_, kWaitTimeout);
+    ASSERT_TRUE(client.Send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n"));
+    ASSERT_TRUE(WaitUntil([&] { return held_count_ == 1; }, kWaitTimeout));
+    ASSERT_TRUE(client.Send("\r\n"));
+    std::this_thread::sleep_for(Millis(700));
+    EXPECT_EQ(disconnected_count_, 0);
+  }
+  const Instant closed = Clock::now();
+  EXPECT_TRUE(
+      WaitUntil([&] { return disconnected_count_ == 1; }, kWaitTimeout));
+  EXPECT_LT(Clock::now() - closed, Millis(1300));
+}
+
 TEST_F(EventHttpServerTest, AnswersPipelinedRequestsInTheirOrder) {
   const RawConnection client(address_, kWaitTimeout);
   const std::string one = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
