Simulate cut workers, kills in series, reset callers and slow clocks

Change: workers' clocks start at another time with each incarnation and run up to 2 % slow, in leases and readings alike; a worker is cut from its guard and runs on; guards and entries are killed in series; connections end for one side first; callers lose their connections to an entry that lives; an earlier incarnation of a worker announces itself late. A property of its own adds what suggests the end of a worker or run that goes on: refused connections, second copies of calls that are refused, late withdrawals.

--- a/tests/held_property_test.cc
+++ b/tests/held_property_test.cc
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <random>
 #include <set>
@@ -49,15 +50,34 @@
   kStartsUnanswered,  // Calls to one worker are lost or carried out late.
   kStopsUnanswered,
   kPollsUnanswered,
-  kGuardSilent,   // Of all links of a guard.
-  kEntrySilent,   // Of all links of an entry.
-  kBriefSilence,  // For about the home lease.
+  kGuardSilent,      // Of all links of a guard.
+  kEntrySilent,      // Of all links of an entry.
+  kBriefSilence,     // For about the home lease.
+  kHalfClosed,       // One side of a connection learns late that it has ended.
+  kCallersReset,     // Callers lose their connections to an entry, which lives.
+  kGuardsKilled,     // In series.
+  kEntriesKilled,    // In series.
+  kOldAnnouncement,  // An earlier incarnation of the worker announces itself.
+  kWorkerCut,        // Calls get no answer while the worker runs on.
+  // The following suggest that a run or a worker has ended that goes on.
+  kWorkerRefuses,  // Connections to the running worker are refused.
+  // A kept connection ends with a call that is carried out late; its second
+  // copy is refused.
+  kSecondCopyRefused,
+  kLateWithdrawal,  // Of the incarnation that ended.
 };
-constexpr std::array<std::string_view, 15> kFaultNames = {
-    "guard_killed", "entry_killed",      "guard_frozen",     "entry_frozen",
-    "link_silent",  "link_reset",        "worker_crash",     "calls_lossy",
-    "worker_slow",  "starts_unanswered", "stops_unanswered", "polls_unanswered",
-    "guard_silent", "entry_silent",      "brief_silence"};
+constexpr int kFirstMisleadingFault =
+    static_cast<int>(FaultKind::kWorkerRefuses);
+
+constexpr std::array<std::string_view, 24> kFaultNames = {
+    "guard_killed",      "entry_killed",        "guard_frozen",
+    "entry_frozen",      "link_silent",         "link_reset",
+    "worker_crash",      "calls_lossy",         "worker_slow",
+    "starts_unanswered", "stops_unanswered",    "polls_unanswered",
+    "guard_silent",      "entry_silent",        "brief_silence",
+    "half_closed",       "callers_reset",       "guards_killed",
+    "entries_killed",    "old_announcement",    "worker_cut",
+    "worker_refuses",    "second_copy_refused", "late_withdrawal"};
 
 // A target from here on stands for all workers, or for all entries.
 constexpr int kAllTargets = 6;
@@ -84,6 +104,10 @@
     int64_t ends_at = 0;
     int64_t cpu = 4000;
   };
+  // Time of its clock at `clock_began_at`, and its speed in thousandths.
+  int64_t clock_base = 0;
+  int64_t clock_began_at = 0;
+  int64_t clock_speed = 1000;
   uint64_t incarnation = 1;
   bool is_up = true;
   uint64_t fence = 0;
@@ -97,6 +121,9 @@
 
 // Faults of a worker, or of the way to it, that outlast its incarnation.
 struct WorkerFaults {
+  int64_t cut_until = -1;
+  int64_t refuses_until = -1;
+  int64_t second_copies_until = -1;
   int64_t slow_until = -1;
   std::array<int64_t, kCallKinds> unanswered_until{-1, -1, -1};
   // Every eighth call gets an answer all the same.
@@ -108,6 +135,8 @@
   bool is_carried_out = true;
   int64_t delay = 1;  // Until it is carried out.
   bool is_answered = true;
+  // The answer, if it is not the worker's answer to this copy of the call.
+  std::optional<WorkerVerdict> refusal;
 };
 
 // Passes on the decisions of one process to the trace, if there is one.
@@ -148,6 +177,7 @@
     for (int i = 0; i < kEntries; ++i) {
       entry_logs_.emplace_back("entry" + std::to_string(i), &trace_);
     }
+    for (int i = 0; i < kWorkers; ++i) BeginClock(i, 0);
     for (int i = 0; i < kWorkers; ++i) StartGuard(i);
     for (int i = 0; i < kEntries; ++i) StartEntry(i);
   }
@@ -240,6 +270,18 @@
     }
   }
 
+  // The clock of a new incarnation is up to 2 % slow.
+  void BeginClock(int i, int64_t now) {
+    workers_[i].clock_base = 1'000'000 + RandomBelow(1'000'000);
+    workers_[i].clock_began_at = now;
+    workers_[i].clock_speed = 980 + RandomBelow(21);
+  }
+
+  int64_t ClockOf(const SimWorker& worker) const {
+    return worker.clock_base +
+           (now_ - worker.clock_began_at) * worker.clock_speed / 1000;
+  }
+
   void StartGuard(int i) {
     Guard& guard = guards_[i];
     guard.incarnation = {1000 + ++incarnations_};
@@ -257,11 +299,14 @@
   }
 
   void Announce(int i) {
-    if (!workers_[i].is_up) return;
+    if (workers_[i].is_up) AnnounceAs(i, workers_[i].incarnation);
+  }
+
+  void AnnounceAs(int i, uint64_t incarnation) {
     WorkerAnnouncement announcement =
-        MakeAnnouncement(workers_[i].incarnation, ++announcements_, kCapacity);
+        MakeAnnouncement(incarnation, ++announcements_, kCapacity);
     announcement.incarnation.id = "w" + std::to_string(i);
-    announcement.worker_clock = Millis(now_);
+    announcement.worker_clock = Millis(ClockOf(workers_[i]));
     guards_[i].supervisor->OnAnnouncement(announcement, Now());
   }
 
@@ -404,8 +449,21 @@
   CallFate DrawFate(int i, CallKind kind) {
     const WorkerFaults& faults = worker_faults_[i];
     CallFate fate;
-    if (now_ < faults.unanswered_until[kind] &&
-        !(faults.some_answered[kind] && RandomBelow(8) == 0)) {
+    if (now_ < faults.refuses_until) {
+      fate.is_carried_out = false;
+      fate.refusal = WorkerVerdict::kUnreachable;
+    } else if (now_ < faults.cut_until) {
+      fate.is_answered = false;
+      fate.is_carried_out = RandomBelow(4) == 0;
+      fate.delay = LateDelay();
+    } else if (now_ < faults.second_copies_until && RandomBelow(3) == 0) {
+      fate.delay = LateDelay();
+      fate.refusal =
+          std::array{WorkerVerdict::kUnhealthy, WorkerVerdict::kUnreachable,
+                     WorkerVerdict::kNoCapacity}
+              .at(RandomBelow(kind == kStart ? 3 : 2));
+    } else if (now_ < faults.unanswered_until[kind] &&
+               !(faults.some_answered[kind] && RandomBelow(8) == 0)) {
       fate.is_answered = false;
       fate.is_carried_out = RandomBelow(2) == 0;
       fate.delay = LateDelay();
@@ -428,6 +486,8 @@
     const bool is_carried_out = fate.is_carried_out;
     const int64_t delay = fate.delay;
     const bool is_answered = fate.is_answered;
+    const bool is_refused = fate.refusal.has_value();
+    const int64_t answer_delay = fate.refusal ? 2 : delay + 1;
     const Instant sent = Now();
     const auto reply_after = [this, i, epoch](int64_t after,
                                               std::function<void()> act) {
@@ -439,37 +499,43 @@
     };
     if (auto* start = std::get_if<SendStart>(&action)) {
       auto reply = std::make_shared<WorkerReply>();
+      if (fate.refusal) reply->verdict = *fate.refusal;
       if (is_carried_out) {
-        Schedule(delay, [this, i, call = start->call, reply] {
-          *reply = CarryOutStart(i, call);
+        Schedule(delay, [this, i, call = start->call, reply, is_refused] {
+          const WorkerReply result = CarryOutStart(i, call);
+          if (!is_refused) *reply = result;
         });
       }
-      reply_after(is_answered ? delay + 1 : 80,
+      reply_after(is_answered ? answer_delay : 80,
                   [this, i, made = *start, reply, is_answered] {
                     guards_[i].supervisor->OnStartReply(
                         made, is_answered ? *reply : WorkerReply(), Now());
                   });
     } else if (auto* stop = std::get_if<SendStop>(&action)) {
       auto reply = std::make_shared<WorkerReply>();
+      if (fate.refusal) reply->verdict = *fate.refusal;
       if (is_carried_out) {
-        Schedule(delay, [this, i, call = stop->call, reply] {
-          *reply = CarryOutStop(i, call);
+        Schedule(delay, [this, i, call = stop->call, reply, is_refused] {
+          const WorkerReply result = CarryOutStop(i, call);
+          if (!is_refused) *reply = result;
         });
       }
-      reply_after(is_answered ? delay + 1 : 80,
+      reply_after(is_answered ? answer_delay : 80,
                   [this, i, made = *stop, reply, is_answered] {
                     guards_[i].supervisor->OnStopReply(
                         made, is_answered ? *reply : WorkerReply(), Now());
                   });
     } else if (auto* hold = std::get_if<SendPoll>(&action)) {
       auto reply = std::make_shared<PollReply>();
+      if (fate.refusal) reply->verdict = *fate.refusal;
       if (is_carried_out) {
-        Schedule(delay, [this, i, call = hold->call, reply] {
-          *reply = CarryOutHold(i, call);
+        Schedule(delay, [this, i, call = hold->call, reply, is_refused] {
+          PollReply result = CarryOutHold(i, call);
+          if (!is_refused) *reply = std::move(result);
         });
       }
       const int64_t wait = std::min<int64_t>(hold->call.wait.count(), 20);
-      reply_after(is_answered ? delay + wait : 200,
+      reply_after(is_answered ? (is_refused ? 2 : delay + wait) : 200,
                   [this, i, made = *hold, reply, is_answered, sent] {
                     guards_[i].supervisor->OnPollReply(
                         made, is_answered ? *reply : PollReply(), sent, Now());
@@ -491,12 +557,13 @@
 
   WorkerReply CarryOutStart(int i, const StartCall& call) {
     SimWorker& worker = workers_[i];
-    WorkerReply reply{CheckCall(i, call.incarnation, call.fence), Millis(now_)};
+    WorkerReply reply{CheckCall(i, call.incarnation, call.fence),
+                      Millis(ClockOf(worker))};
     if (reply.verdict != WorkerVerdict::kAccepted) return reply;
     const auto key = std::make_pair(call.task, call.attempt);
     ExtendLease(&worker, call.deadline.count());
     if (worker.running.contains(key)) return reply;
-    if (call.deadline.count() < now_) {
+    if (call.deadline.count() < ClockOf(worker)) {
       reply.verdict = WorkerVerdict::kTooLate;
       return reply;
     }
@@ -534,13 +601,18 @@
       }
     }
     const std::string id = task.substr(0, task.find('.'));
-    if (refused_.contains(id)) violation = id + " starts after its refusal";
+    if (refused_.contains(id)) {
+      violation = id + " starts after its refusal";
+      violated_task = task;
+      Note("VIOLATION " + violation);
+    }
     started_.insert(id);
   }
 
   WorkerReply CarryOutStop(int i, const StopCall& call) {
     SimWorker& worker = workers_[i];
-    WorkerReply reply{CheckCall(i, call.incarnation, call.fence), Millis(now_)};
+    WorkerReply reply{CheckCall(i, call.incarnation, call.fence),
+                      Millis(ClockOf(worker))};
     if (reply.verdict != WorkerVerdict::kAccepted) return reply;
     uint32_t& highest = worker.highest_attempt[call.task];
     highest = std::max(highest, call.attempt);
@@ -555,7 +627,7 @@
     SimWorker& worker = workers_[i];
     PollReply reply;
     reply.verdict = CheckCall(i, call.incarnation, call.fence);
-    reply.worker_clock = Millis(now_);
+    reply.worker_clock = Millis(ClockOf(worker));
     if (reply.verdict != WorkerVerdict::kAccepted) return reply;
     if (call.deadline) ExtendLease(&worker, call.deadline->count());
     std::erase_if(worker.ended, [&](const PollReply::Ended& ended) {
@@ -573,8 +645,8 @@
   }
 
   void ExtendLease(SimWorker* worker, int64_t deadline) const {
-    worker->lease_until =
-        std::max(worker->lease_until, std::min(deadline, now_ + 1000));
+    worker->lease_until = std::max(worker->lease_until,
+                                   std::min(deadline, ClockOf(*worker) + 1000));
   }
 
   using RunMap = std::map<std::pair<std::string, uint32_t>, SimWorker::Run>;
@@ -583,7 +655,7 @@
     Note("worker" + std::to_string(worker - workers_) + " ended task=" +
          run->first.first + " attempt=" + std::to_string(run->first.second) +
          (ending == RunEnding::kInterrupted ? " interrupted" : "") +
-         (now_ >= worker->lease_until ? " lease over" : ""));
+         (ClockOf(*worker) >= worker->lease_until ? " lease over" : ""));
     uint32_t& highest = worker->highest_attempt[run->first.first];
     highest = std::max(highest, run->first.second);
     worker->ended.push_back(
@@ -595,7 +667,7 @@
   void StepWorkers() {
     for (SimWorker& worker : workers_) {
       for (auto run = worker.running.begin(); run != worker.running.end();) {
-        if (now_ >= worker.lease_until) {
+        if (ClockOf(worker) >= worker.lease_until) {
           run = EndRun(&worker, run, RunEnding::kInterrupted);
         } else if (now_ >= run->second.ends_at) {
           run = EndRun(
@@ -691,6 +763,62 @@
 
   // Faults.
 
+  void RestartWorker(int i, int64_t after) {
+    const uint64_t incarnation = workers_[i].incarnation + 1;
+    workers_[i] = SimWorker();
+    workers_[i].incarnation = incarnation;
+    workers_[i].is_up = false;
+    BeginClock(i, now_);
+    Schedule(after, [this, i, incarnation] {
+      if (workers_[i].incarnation != incarnation) return;
+      workers_[i].is_up = true;
+      BeginClock(i, now_);
+      if (now_ >= guards_[i].suspended_until) Announce(i);
+    });
+  }
+
+  // The connection ends. One side learns of it now, the other later.
+  void HalfClose(int e, int g, int64_t after) {
+    Link& link = links_[e][g];
+    if (!link.is_up) return;
+    link.is_up = false;
+    const bool guard_is_first = RandomBelow(2) == 0;
+    const auto tell_guard = [this, g, session = link.session,
+                             epoch = guards_[g].epoch] {
+      if (guards_[g].epoch != epoch) return;
+      guards_[g].supervisor->OnSessionDown(session, Now());
+    };
+    const auto tell_entry = [this, e, guard = link_guard_[e][g],
+                             epoch = entries_[e].epoch] {
+      if (entries_[e].epoch != epoch) return;
+      entries_[e].scheduler->OnGuardDown(guard, Now());
+    };
+    if (guard_is_first) {
+      // The entry connects again once it has noticed.
+      link.to_entry.cut_until = now_ + after + 20;
+      tell_guard();
+      Schedule(after, [this, e, tell_entry] {
+        RunWhenResumed(&entries_[e].suspended_until, tell_entry);
+      });
+    } else {
+      tell_entry();
+      Schedule(after, [this, g, tell_guard] {
+        RunWhenResumed(&guards_[g].suspended_until, tell_guard);
+      });
+    }
+  }
+
+  // The callers of an entry lose their connections, which the entry notices
+  // unless it is frozen.
+  void ResetCallers(int e) {
+    for (const auto& [number, id] : entries_[e].job_of_caller) {
+      Caller& caller = callers_[id];
+      if (!caller.is_waiting || caller.number != number) continue;
+      AbandonJob(&caller);
+      Resend(&caller);
+    }
+  }
+
   static std::vector<int> WorkersOf(const Fault& fault) {
     if (fault.target >= kAllTargets) return {0, 1, 2};
     return {fault.target % kWorkers};
@@ -742,15 +870,54 @@
       case FaultKind::kLinkReset:
         CloseLink(e, g, true);
         return;
-      case FaultKind::kWorkerCrash: {
-        SimWorker& worker = workers_[g];
-        const uint64_t incarnation = worker.incarnation + 1;
-        worker = SimWorker();
-        worker.incarnation = incarnation;
-        worker.is_up = false;
-        Schedule(fault.length, [this, g] {
-          workers_[g].is_up = true;
-          if (now_ >= guards_[g].suspended_until) Announce(g);
+      case FaultKind::kWorkerCrash:
+        return RestartWorker(g, fault.length);
+      case FaultKind::kHalfClosed:
+        return HalfClose(e, g, fault.length);
+      case FaultKind::kCallersReset:
+        return ResetCallers(e);
+      case FaultKind::kGuardsKilled:
+        for (const int w : WorkersOf(fault)) {
+          for (int64_t after = 0; after < fault.length; after += 700) {
+            Schedule(after + RandomBelow(700), [this, w] { StartGuard(w); });
+          }
+        }
+        return;
+      case FaultKind::kEntriesKilled:
+        for (int64_t after = 0; after < fault.length; after += 900) {
+          Schedule(after + RandomBelow(900), [this, e] { StartEntry(e); });
+        }
+        return;
+      case FaultKind::kOldAnnouncement:
+        Schedule(0, [this, g] {
+          if (workers_[g].incarnation <= 1) return;
+          RunWhenResumed(&guards_[g].suspended_until, [this, g] {
+            AnnounceAs(g, workers_[g].incarnation - 1);
+          });
+        });
+        return;
+      case FaultKind::kWorkerCut:
+        for (const int w : WorkersOf(fault)) {
+          worker_faults_[w].cut_until = now_ + fault.length;
+        }
+        return;
+      case FaultKind::kWorkerRefuses:
+        for (const int w : WorkersOf(fault)) {
+          worker_faults_[w].refuses_until = now_ + fault.length;
+        }
+        return;
+      case FaultKind::kSecondCopyRefused:
+        for (const int w : WorkersOf(fault)) {
+          worker_faults_[w].second_copies_until = now_ + fault.length;
+        }
+        return;
+      case FaultKind::kLateWithdrawal: {
+        RestartWorker(g, 50 + RandomBelow(300));
+        Schedule(RandomBelow(static_cast<uint32_t>(fault.length)), [this, g] {
+          RunWhenResumed(&guards_[g].suspended_until, [this, g] {
+            Note("late withdrawal at guard" + std::to_string(g));
+            guards_[g].supervisor->OnWithdrawn("w" + std::to_string(g));
+          });
         });
         return;
       }
@@ -820,10 +987,10 @@
   return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(min, max));
 }
 
-rc::Gen<std::vector<Fault>> Faults() {
-  const auto kind =
-      rc::gen::map(Within<int>(0, static_cast<int>(kFaultNames.size())),
-                   [](int index) { return static_cast<FaultKind>(index); });
+rc::Gen<std::vector<Fault>> Faults(int kinds) {
+  const auto kind = rc::gen::map(Within<int>(0, kinds), [](int index) {
+    return static_cast<FaultKind>(index);
+  });
   const auto fault = rc::gen::build<Fault>(
       rc::gen::set(&Fault::at, Within<int64_t>(200, kFaultsEnd)),
       rc::gen::set(&Fault::kind, kind),
@@ -867,8 +1034,8 @@
   return text;
 }
 
-RC_GTEST_PROP(HeldPropertyTest, KeepsItsGuaranteesUnderRandomFaults, ()) {
-  const auto faults = *Faults();
+void CheckGuarantees(int kinds) {
+  const auto faults = *Faults(kinds);
   const auto seed =
       *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<uint32_t>());
   Simulation simulation(seed);
@@ -880,6 +1047,14 @@
   RC_ASSERT(simulation.AllAnswered());
 }
 
+RC_GTEST_PROP(HeldPropertyTest, KeepsItsGuaranteesUnderRandomFaults, ()) {
+  CheckGuarantees(kFirstMisleadingFault);
+}
+
+RC_GTEST_PROP(HeldPropertyTest, KeepsThemThoughAWorkerSeemsToHaveEnded, ()) {
+  CheckGuarantees(static_cast<int>(kFaultNames.size()));
+}
+
 TEST(HeldPropertyTest, WithoutFaultsEveryJobIsAnsweredAndMostComplete) {
   Simulation simulation(7);
   simulation.Run({}, 40);
