Close inherited sockets in the processes that tests start

Seen: a proxy that listened again reported 'Address already in use', since a daemon that was started meanwhile had inherited its listening socket. Cause: posix_spawn passes on every descriptor without FD_CLOEXEC, and asio's sockets have none. A connection that a proxy reset was not reset either while a younger daemon held a copy of it. Change: started processes keep the standard descriptors only.

--- a/tests/lib/process.cc
+++ b/tests/lib/process.cc
@@ -29,6 +29,8 @@
   constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND;
   posix_spawn_file_actions_addopen(&files, 1, log.c_str(), kFlags, 0644);
   posix_spawn_file_actions_adddup2(&files, 1, 2);
+  // A connection that the new process inherited would outlive its close here.
+  posix_spawn_file_actions_addclosefrom_np(&files, 3);
   pid_t pid = 0;
   const int error =
       posix_spawn(&pid, argv[0], &files, nullptr, argv.data(), environ);
