Let the stand-in worker carry out calls late and run slowly

Starts, stops and polls each have a share of calls that get no answer and are carried out later, after newer ones. Two runs of a task at a time are now judged by when the runs were really over (lapse, length or stop) instead of by when a thread noticed, so that a busy machine neither hides nor invents an overlap.

--- a/tests/lib/fake_worker.cc
+++ b/tests/lib/fake_worker.cc
@@ -16,6 +16,9 @@
 constexpr Millis kHeartbeat{200};
 // How late a run that lapsed is ended.
 constexpr Millis kTick{5};
+// A call without an answer is held longer than any guard waits for one.
+constexpr Millis kUnanswered{700};
+constexpr int kNoAnswer = 504;
 
 std::string JobOf(const std::string& task) {
   return task.substr(0, task.find('.'));
@@ -28,18 +31,51 @@
   ++starts_;
   ++running_;
   ++starts_by_job_[JobOf(task)];
-  if (++open_[task] > 1) ++doubled_;
-  Note(task, run, open_[task] > 1 ? "started beside another run" : "started");
+  runs_by_task_[task].push_back({run, Clock::now()});
+  Note(task, run, "started");
 }
 
 void RunLedger::Ended(const std::string& task, const std::string& run,
-                      const std::string& how) {
+                      const std::string& how, Instant ended) {
   const std::lock_guard lock(mutex_);
   --running_;
-  --open_[task];
+  for (Interval& interval : runs_by_task_[task]) {
+    const bool is_open = interval.ended == Instant::max();
+    if (is_open && interval.run == run) interval.ended = ended;
+  }
   if (how == "failed") ++failed_by_job_[JobOf(task)][task];
   if (how == "done") done_by_job_[JobOf(task)].insert(task);
-  Note(task, run, how);
+  const Millis ago = Elapsed(ended, Clock::now());
+  Note(task, run, how + " " + std::to_string(ago.count()) + " ms ago");
+}
+
+int RunLedger::CountOverlaps(const std::vector<Interval>& runs) {
+  int count = 0;
+  for (auto a = runs.begin(); a != runs.end(); ++a) {
+    count +=
+        static_cast<int>(std::count_if(runs.begin(), a, [&](const auto& b) {
+          return a->began < b.ended && b.began < a->ended;
+        }));
+  }
+  return count;
+}
+
+int RunLedger::doubled() {
+  const std::lock_guard lock(mutex_);
+  int count = 0;
+  for (const auto& [task, runs] : runs_by_task_) count += CountOverlaps(runs);
+  return count;
+}
+
+std::string RunLedger::DoubledHistory() {
+  const std::lock_guard lock(mutex_);
+  std::set<std::string> jobs;
+  for (const auto& [task, runs] : runs_by_task_) {
+    if (CountOverlaps(runs) > 0) jobs.insert(JobOf(task));
+  }
+  std::string text;
+  for (const std::string& job : jobs) text += history_by_job_[job] + "\n";
+  return text;
 }
 
 void RunLedger::Note(const std::string& task, const std::string& run,
@@ -83,20 +119,22 @@
       ledger_(ledger),
       born_ms_(std::chrono::duration_cast<Millis>(
                    std::chrono::system_clock::now().time_since_epoch())
-                   .count()) {
+                   .count()),
+      random_(static_cast<uint32_t>(std::hash<std::string>()(id_))) {
   std::vector<HttpServer::Route> routes;
-  const auto add = [&](const char* path,
-                       HttpResponse (FakeWorker::*handler)(const json&)) {
-    routes.push_back({"POST", path, [this, handler](const HttpRequest& r) {
-                        return (this->*handler)(json::parse(r.body));
-                      }});
+  const auto add = [&](const char* path, Handler handler,
+                       double LateCalls::*share) {
+    routes.push_back(
+        {"POST", path, [this, handler, share](const HttpRequest& r) {
+           return OnCall(handler, share, json::parse(r.body));
+         }});
   };
-  add("/-/run-start", &FakeWorker::OnStart);
-  add("/-/run-stop", &FakeWorker::OnStop);
-  add("/-/hold", &FakeWorker::OnHold);
+  add("/-/run-start", &FakeWorker::OnStart, &LateCalls::starts);
+  add("/-/run-stop", &FakeWorker::OnStop, &LateCalls::stops);
+  add("/-/hold", &FakeWorker::OnHold, &LateCalls::polls);
   HttpServerOptions options;
   options.address = address;
-  options.threads = 16;
+  options.threads = 48;  // Most of them hold calls without an answer.
   options.no_such_route = [this] { return Answer(404, json::object()); };
   options.too_large = [this](size_t) { return Answer(413, json::object()); };
   auto http = HttpServer::Make(std::move(options), std::move(routes));
@@ -145,26 +183,67 @@
   return std::to_string(key.second) + "@" + id_;
 }
 
-void FakeWorker::End(const Key& key, const char* how) {
+void FakeWorker::End(const Key& key, const char* how, Instant ended) {
   ended_.push_back({next_end_++, key.first, key.second, how, ""});
   uint32_t& highest = highest_[key.first];
   highest = std::max(highest, key.second);
   running_.erase(key);
-  ledger_->Ended(key.first, RunName(key), how);
+  ledger_->Ended(key.first, RunName(key), how, ended);
 }
 
 void FakeWorker::Settle() {
   const Instant now = Clock::now();
-  const bool has_lapsed = ClockNow() > lease_;
-  std::vector<std::pair<Key, const char*>> over;
+  const Instant lapses = born_ + Millis(lease_);
+  std::vector<std::tuple<Key, const char*, Instant>> over;
   for (const auto& [key, run] : running_) {
-    if (has_lapsed) {
-      over.emplace_back(key, "lapsed");
-    } else if (now >= run.ends) {
-      over.emplace_back(key, is_failing_ ? "failed" : "done");
+    if (now >= run.ends && run.ends <= lapses) {
+      over.emplace_back(key, is_failing_ ? "failed" : "done", run.ends);
+    } else if (now > lapses) {
+      over.emplace_back(key, "lapsed", lapses);
+    }
+  }
+  for (const auto& [key, how, ended] : over) End(key, how, ended);
+}
+
+void FakeWorker::SetLate(const LateCalls& late) {
+  const std::lock_guard lock(mutex_);
+  late_ = late;
+}
+
+HttpResponse FakeWorker::OnCall(Handler handler, double LateCalls::*share,
+                                const json& body) {
+  if (!PutOff(handler, share, body)) return (this->*handler)(body);
+  const Instant until = Clock::now() + kUnanswered;
+  while (Clock::now() < until && !is_stopping_) {
+    std::this_thread::sleep_for(kTick);
+  }
+  return Answer(kNoAnswer, json::object());
+}
+
+bool FakeWorker::PutOff(Handler handler, double LateCalls::*share,
+                        const json& body) {
+  const std::lock_guard lock(mutex_);
+  if (!std::bernoulli_distribution(late_.*share)(random_)) return false;
+  const Millis delay(random_() % (late_.longest.count() + 1));
+  late_calls_.emplace(Clock::now() + delay,
+                      [this, handler, call = json(body)]() mutable {
+                        call["waitMs"] = 0;
+                        (this->*handler)(call);
+                      });
+  return true;
+}
+
+void FakeWorker::CarryOutLateCalls() {
+  std::vector<std::function<void()>> due;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto end = late_calls_.upper_bound(Clock::now());
+    for (auto call = late_calls_.begin(); call != end; ++call) {
+      due.push_back(std::move(call->second));
     }
+    late_calls_.erase(late_calls_.begin(), end);
   }
-  for (const auto& [key, how] : over) End(key, how);
+  for (const auto& call : due) call();
 }
 
 HttpResponse FakeWorker::OnStart(const json& body) {
@@ -185,7 +264,7 @@
     return Answer(409, {{"reason", "room"}});
   }
   const Millis length(std::stoll(body.at("spec").get<std::string>()));
-  running_[key] = {Clock::now() + length};
+  running_[key] = {Clock::now() + length * slowness_.load()};
   ++starts_;
   ledger_->Started(key.first, RunName(key));
   changed_.notify_all();
@@ -200,7 +279,7 @@
                 body.at("attempt").get<uint32_t>()};
   uint32_t& highest = highest_[key.first];
   highest = std::max(highest, key.second);
-  if (running_.contains(key)) End(key, "stopped");
+  if (running_.contains(key)) End(key, "stopped", Clock::now());
   changed_.notify_all();
   return Answer(200, json::object());
 }
@@ -245,9 +324,10 @@
   }
 }
 
-// What lapses while nobody calls must end as well.
+// Carries out late calls, and ends what lapses while nobody calls.
 void FakeWorker::Watch() {
   while (!is_stopping_) {
+    CarryOutLateCalls();
     {
       const std::lock_guard lock(mutex_);
       Settle();
--- a/tests/lib/fake_worker.h
+++ b/tests/lib/fake_worker.h
@@ -3,10 +3,12 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -27,8 +29,9 @@
  public:
   // `run` names the task's attempt and the worker, for the history only.
   void Started(const std::string& task, const std::string& run);
+  // `ended` is when the run was over, which may be noticed late.
   void Ended(const std::string& task, const std::string& run,
-             const std::string& how);
+             const std::string& how, Instant ended);
   // Of the tasks of a job.
   int starts_of(const std::string& job);
   int done_of(const std::string& job);
@@ -36,26 +39,43 @@
   int failed_of(const std::string& job);
   // What happened to the tasks of a job, a line each.
   std::string HistoryOf(const std::string& job);
-  // Tasks that had two runs at a time.
-  int doubled() const { return doubled_; }
+  // Pairs of runs of one task that were there at the same time.
+  int doubled();
+  // The history of each job that has such a pair.
+  std::string DoubledHistory();
   int starts() const { return starts_; }
   int running() const { return running_; }
 
  private:
+  struct Interval {
+    std::string run;
+    Instant began;
+    Instant ended = Instant::max();
+  };
+
+  static int CountOverlaps(const std::vector<Interval>& runs);
   void Note(const std::string& task, const std::string& run,
             const std::string& what);
 
   std::mutex mutex_;
-  std::map<std::string, int> open_;
+  std::map<std::string, std::vector<Interval>> runs_by_task_;
   std::map<std::string, int> starts_by_job_;
   std::map<std::string, std::set<std::string>> done_by_job_;
   std::map<std::string, std::map<std::string, int>> failed_by_job_;
   std::map<std::string, std::string> history_by_job_;
-  std::atomic<int> doubled_{0};
   std::atomic<int> starts_{0};
   std::atomic<int> running_{0};
 };
 
+// Of the calls of each kind, the share that a worker leaves without an answer
+// and carries out later.
+struct LateCalls {
+  double starts = 0;
+  double stops = 0;
+  double polls = 0;
+  Millis longest{0};  // Until they are carried out.
+};
+
 // A stand-in for a worker of the platform. A run lasts as many milliseconds as
 // its spec says, as long as its lease is renewed.
 class FakeWorker {
@@ -68,6 +88,9 @@
 
   void SetDraining(bool is_draining) { is_draining_ = is_draining; }
   void SetFailing(bool is_failing) { is_failing_ = is_failing; }
+  void SetLate(const LateCalls& late);
+  // Runs that start from now on take so many times as long.
+  void SetSlowness(int factor) { slowness_ = factor; }
   int starts() const { return starts_; }
 
  private:
@@ -76,6 +99,14 @@
     Instant ends;
   };
 
+  using Handler = HttpResponse (FakeWorker::*)(const nlohmann::json&);
+
+  HttpResponse OnCall(Handler handler, double LateCalls::*share,
+                      const nlohmann::json& body);
+  // Whether the call was put off.
+  bool PutOff(Handler handler, double LateCalls::*share,
+              const nlohmann::json& body);
+  void CarryOutLateCalls();
   HttpResponse OnStart(const nlohmann::json& body);
   HttpResponse OnStop(const nlohmann::json& body);
   HttpResponse OnHold(const nlohmann::json& body);
@@ -84,7 +115,7 @@
   void Extend(const nlohmann::json& body);
   // Ends what is over. With the lock held.
   void Settle();
-  void End(const Key& key, const char* how);
+  void End(const Key& key, const char* how, Instant ended);
   std::string RunName(const Key& key) const;
   int64_t ClockNow() const;
   void Announce();
@@ -106,6 +137,10 @@
   std::map<Key, Run> running_;
   std::map<std::string, uint32_t> highest_;
   std::vector<nlohmann::json> ended_;
+  LateCalls late_;
+  std::mt19937 random_;
+  std::multimap<Instant, std::function<void()>> late_calls_;
+  std::atomic<int> slowness_{1};
   std::atomic<bool> is_draining_{false};
   std::atomic<bool> is_failing_{false};
   std::atomic<bool> is_stopping_{false};
