Put a proxy before every process of the held cluster

What one daemon sends another goes through a proxy before the receiver, if the test wants links. A preloaded connect() leads there and binds the daemon's own host, so that one pair of processes can be cut. Callers keep a connection to each entry open and send nothing twice; libcurl sends a request again when a kept connection ends before the answer, which the platform's callers do not.

--- a/tests/lib/held_cluster.cc
+++ b/tests/lib/held_cluster.cc
@@ -3,12 +3,12 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <thread>
 
-#include "http/http_caller.h"
 #include "lib/cluster.h"
 
 namespace qs::test {
@@ -18,6 +18,14 @@
 
 constexpr int64_t kWorkerCpu = 16'000;
 constexpr int kStoreHost = 200;
+constexpr int kFirstEntryHost = 10;
+constexpr int kFirstGuardHost = 100;
+constexpr int kPeerPort = 7000;
+// Where connect_redirect.cc sends what is meant for kPeerPort.
+constexpr int kLinkPort = 7500;
+// The kernel rounds the time limits of sockets up to its ticks.
+constexpr Millis kTimerRounding{8};
+constexpr std::string_view kLengthHeader = "Content-Length: ";
 
 json Route(const std::string& name, const std::string& prefix) {
   return {{"name", name},      {"host", "jobs.example"}, {"prefix", prefix},
@@ -27,19 +35,29 @@
 
 }  // namespace
 
-HeldCluster::HeldCluster(int guards, int entries)
-    : net_("127." + std::to_string(64 + getpid() % 64) + "." +
+HeldCluster::HeldCluster(const HeldClusterOptions& options)
+    : options_(options),
+      entry_count_(options.entries),
+      net_("127." + std::to_string(64 + getpid() % 64) + "." +
            std::to_string(getpid() / 64 % 250 + 1) + ".") {
   std::string pattern = "/tmp/held_cluster.XXXXXX";
   if (mkdtemp(pattern.data()) == nullptr) std::abort();
   directory_ = pattern;
+  if (options_.daemon.empty()) {
+    options_.daemon = Cluster::ProgramPath("quetzalspindled");
+  }
   kv_ = std::make_unique<FakeKv>(At(kStoreHost, 9001));
   store_proxy_ =
       std::make_unique<FaultProxy>(At(kStoreHost, 9000), At(kStoreHost, 9001));
   WriteCatalog(1, true);
-  guards_.resize(Index(guards));
-  entries_.resize(Index(entries));
-  for (int i = 0; i < guards; ++i) {
+  processes_.resize(Index(options.entries + options.guards));
+  if (options_.has_links) {
+    for (int i = 0; i < process_count(); ++i) {
+      link_proxies_.push_back(std::make_unique<FaultProxy>(
+          At(HostOf(i), kLinkPort), At(HostOf(i), kPeerPort)));
+    }
+  }
+  for (int i = 0; i < options.guards; ++i) {
     worker_proxies_.push_back(
         std::make_unique<FaultProxy>(GuardAt(i, 8100), GuardAt(i, 8101)));
     workers_.push_back(std::make_unique<FakeWorker>(
@@ -47,12 +65,11 @@
         GuardAt(i, 8200), kWorkerCpu, &ledger_));
     StartGuard(i);
   }
-  for (int i = 0; i < entries; ++i) StartEntry(i);
+  for (int i = 0; i < options.entries; ++i) StartEntry(i);
 }
 
 HeldCluster::~HeldCluster() {
-  entries_.clear();
-  guards_.clear();
+  processes_.clear();
   if (keeps_logs_) return;
   std::error_code error;
   std::filesystem::remove_all(directory_, error);
@@ -65,7 +82,7 @@
 }
 
 bool HeldCluster::WaitReady() {
-  for (size_t i = 0; i < entries_.size(); ++i) {
+  for (size_t i = 0; i < Index(entry_count_); ++i) {
     const bool is_ready = WaitUntil([&] {
       return HandIn(static_cast<int>(i), NextId(), 1, Millis(1)).status == 200;
     });
@@ -89,38 +106,55 @@
                               .dump());
 }
 
-std::unique_ptr<Process> HeldCluster::StartRole(const std::string& name,
-                                                int host,
-                                                const std::string& role,
-                                                const std::string& more) {
-  std::ofstream(SettingsPath(name))
-      << "[process]\nrole = " << role
-      << "\ndeployment = platform\nzone = z\nlisten = "
-      << At(host, 7000).ToString() << "\nhttp = " << At(host, 7001).ToString()
-      << "\nstop_timeout_ms = 4000\n[store]\naddress = "
-      << At(kStoreHost, 9000).ToString()
-      << "\n[members]\ngossip_interval_ms = 100\n"
-      << more;
-  return Process::Start(
-      {Cluster::ProgramPath("quetzalspindled"), "--config", SettingsPath(name)},
-      directory_ + "/" + name + "." + std::to_string(++started_) + ".log");
+int HeldCluster::HostOf(int process) const {
+  return process < entry_count_ ? kFirstEntryHost + process
+                                : kFirstGuardHost + process - entry_count_;
 }
 
-void HeldCluster::StartGuard(int i) {
-  guards_.at(Index(i)).reset();
-  guards_.at(Index(i)) =
-      StartRole("guard" + std::to_string(i), 100 + i, "job_guard",
-                "[worker]\nannouncements = " + GuardAt(i, 8200).ToString() +
-                    "\naddress = " + GuardAt(i, 8100).ToString() + "\n");
+void HeldCluster::SetLink(int a, int b, FaultProxy::Mode mode) {
+  FaultProxy::Mode reverse = mode;
+  if (mode == FaultProxy::Mode::kMute) reverse = FaultProxy::Mode::kDeaf;
+  if (mode == FaultProxy::Mode::kDeaf) reverse = FaultProxy::Mode::kMute;
+  link_proxy(b).SetModeFor(static_cast<uint8_t>(HostOf(a)), mode);
+  link_proxy(a).SetModeFor(static_cast<uint8_t>(HostOf(b)), reverse);
 }
 
-void HeldCluster::StartEntry(int i) {
-  entries_.at(Index(i)).reset();
-  entries_.at(Index(i)) =
-      StartRole("entry" + std::to_string(i), 10 + i, "job_entry",
-                "[callers]\nlisten = " + EntryAt(i, 8000).ToString() +
-                    "\nreadiness = " + EntryAt(i, 8001).ToString() +
-                    "\nstop_accepting_after_ms = 200\n");
+void HeldCluster::StartProcess(int i) {
+  processes_.at(Index(i)).reset();
+  const bool is_entry = i < entry_count_;
+  const int host = HostOf(i);
+  const std::string name = is_entry
+                               ? "entry" + std::to_string(i)
+                               : "guard" + std::to_string(i - entry_count_);
+  std::ofstream settings(SettingsPath(name));
+  settings << "[process]\nrole = " << (is_entry ? "job_entry" : "job_guard")
+           << "\ndeployment = platform\nzone = z\nlisten = "
+           << At(host, kPeerPort).ToString()
+           << "\nhttp = " << At(host, 7001).ToString()
+           << "\nstop_timeout_ms = 4000\n[store]\naddress = "
+           << At(kStoreHost, 9000).ToString()
+           << "\n[members]\ngossip_interval_ms = 100\n";
+  if (is_entry) {
+    settings << "[callers]\nlisten = " << At(host, 8000).ToString()
+             << "\nreadiness = " << At(host, 8001).ToString()
+             << "\nstop_accepting_after_ms = 200\n";
+  } else {
+    settings << "[worker]\nannouncements = " << At(host, 8200).ToString()
+             << "\naddress = " << At(host, 8100).ToString() << "\n";
+  }
+  settings.close();
+  std::vector<std::string> command = {options_.daemon, "--config",
+                                      SettingsPath(name)};
+  if (options_.has_links) {
+    command.insert(
+        command.begin(),
+        {"/usr/bin/env",
+         "LD_PRELOAD=" + Cluster::ProgramPath("libconnect_redirect.so"),
+         "QS_LINK_SOURCE=" + net_ + std::to_string(host)});
+  }
+  processes_.at(Index(i)) =
+      Process::Start(command, directory_ + "/" + name + "." +
+                                  std::to_string(++started_) + ".log");
 }
 
 std::string HeldCluster::NextId() {
@@ -132,24 +166,47 @@
                                         int tasks, Millis run_time,
                                         const std::string& prefix,
                                         Millis patience) {
-  HttpCaller caller(EntryAt(entry, 8000));
-  HttpExchange exchange;
-  exchange.target = prefix + id;
-  exchange.headers = {
-      {"Host", "jobs.example"},
-      {"Quetzalspindle-Deadline-Ms", std::to_string(patience.count())}};
-  exchange.body = json{{"spec", std::to_string(run_time.count())},
-                       {"bestEffort", true},
-                       {"phases",
-                        {{{"count", tasks},
-                          {"cpu", 4000},
-                          {"memMb", 64},
-                          {"estimateMs", run_time.count()}}}}}
-                      .dump();
-  exchange.timeout = patience;
-  const HttpOutcome outcome = caller.Exchange(exchange);
-  if (outcome.fault != HttpFault::kNone) return {};
-  return {outcome.status, outcome.body};
+  return HeldCaller(this).HandIn(entry, id, tasks, run_time, prefix, patience);
+}
+
+HeldCluster::Answer HeldCaller::HandIn(int entry, const std::string& id,
+                                       int tasks, Millis run_time,
+                                       const std::string& prefix,
+                                       Millis patience) {
+  const Instant began = Clock::now();
+  const json body = {{"spec", std::to_string(run_time.count())},
+                     {"bestEffort", true},
+                     {"phases",
+                      {{{"count", tasks},
+                        {"cpu", 4000},
+                        {"memMb", 64},
+                        {"estimateMs", run_time.count()}}}}};
+  const std::string text = body.dump();
+  std::unique_ptr<RawConnection> connection = std::move(connections_[entry]);
+  if (!connection) {
+    connection =
+        std::make_unique<RawConnection>(cluster_->EntryAt(entry, 8000));
+  }
+  if (!connection->connected()) return {0, "", false};
+  const Millis left = patience - Elapsed(began, Clock::now()) - kTimerRounding;
+  connection->SetPatience(std::max(left, Millis(1)));
+  HeldCluster::Answer answer;
+  answer.was_sent = connection->Send(
+      "POST " + prefix + id + " HTTP/1.1\r\nHost: jobs.example\r\n" +
+      "Content-Type: application/json\r\nQuetzalspindle-Deadline-Ms: " +
+      std::to_string(patience.count()) +
+      "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+  if (!answer.was_sent) return answer;
+  const std::string head = connection->ReadUntil("\r\n\r\n");
+  const size_t length = head.find(kLengthHeader);
+  if (length == std::string::npos) return answer;
+  const size_t size = std::stoul(head.substr(length + kLengthHeader.size()));
+  answer.body = connection->Read(size);
+  if (answer.body.size() < size) return {};
+  answer.status = std::stoi(head.substr(head.find(' ') + 1));
+  const bool closes = head.find("Connection: close") != std::string::npos;
+  if (!closes) connections_[entry] = std::move(connection);
+  return answer;
 }
 
 }  // namespace qs::test
--- a/tests/lib/held_cluster.h
+++ b/tests/lib/held_cluster.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -12,15 +13,30 @@
 #include "lib/fake_worker.h"
 #include "lib/fault_proxy.h"
 #include "lib/process.h"
-#include "quetzalspindle/http_exchange.h"
+#include "lib/raw_connection.h"
 
 namespace qs::test {
 
+struct HeldClusterOptions {
+  int guards = 2;
+  int entries = 2;
+  // The daemon that is run; empty for the one built beside this program.
+  std::string daemon;
+  // Whether a proxy stands before each process, for what other processes send.
+  bool has_links = false;
+};
+
 // The roles for held jobs as real processes on a loopback network of their own,
 // against stand-ins of the platform's store and workers behind proxies.
+// Processes are numbered from 0, entries first.
 class HeldCluster {
  public:
-  HeldCluster(int guards, int entries);
+  static constexpr int kMaxEntries = 80;
+  static constexpr int kMaxGuards = 90;
+
+  explicit HeldCluster(const HeldClusterOptions& options);
+  HeldCluster(int guards, int entries)
+      : HeldCluster(HeldClusterOptions{guards, entries, "", false}) {}
   // Ends all processes.
   ~HeldCluster();
   HeldCluster(const HeldCluster&) = delete;
@@ -35,8 +51,16 @@
   FakeKv& kv() { return *kv_; }
   RunLedger& ledger() { return ledger_; }
   FakeWorker& worker(int i) { return *workers_.at(Index(i)); }
-  Process& guard(int i) { return *guards_.at(Index(i)); }
-  Process& entry(int i) { return *entries_.at(Index(i)); }
+  Process& guard(int i) { return process(entry_count_ + i); }
+  Process& entry(int i) { return process(i); }
+  Process& process(int i) { return *processes_.at(Index(i)); }
+  int process_count() const { return static_cast<int>(processes_.size()); }
+  // Only with `has_links`: what other processes send to this one goes through
+  // it, and what this process itself sends them goes through theirs.
+  FaultProxy& link_proxy(int i) { return *link_proxies_.at(Index(i)); }
+  // Sets the mode of what passes between two processes, whoever connected.
+  // kMute and kDeaf are as seen by `a`.
+  void SetLink(int a, int b, FaultProxy::Mode mode);
   FaultProxy& worker_proxy(int i) { return *worker_proxies_.at(Index(i)); }
   FaultProxy& store_proxy() { return *store_proxy_; }
   std::string SettingsPath(const std::string& name) const {
@@ -48,8 +72,9 @@
   Address EntryAt(int i, int port) const { return At(10 + i, port); }
 
   // Kills what runs there before.
-  void StartGuard(int i);
-  void StartEntry(int i);
+  void StartGuard(int i) { StartProcess(entry_count_ + i); }
+  void StartEntry(int i) { StartProcess(i); }
+  void StartProcess(int i);
 
   void WriteCatalog(uint64_t version, bool has_second_queue);
 
@@ -57,18 +82,20 @@
   struct Answer {
     int status = 0;  // 0 where none came.
     std::string body;
+    bool was_sent = true;  // At least in part.
   };
-  // Hands a job in. Each task runs for `run_time` and declares it.
+  // Hands a job in over a connection of its own. Each task runs for `run_time`
+  // and declares it.
   Answer HandIn(int entry, const std::string& id, int tasks, Millis run_time,
                 const std::string& prefix = "/q/",
                 Millis patience = Millis(8000));
 
  private:
   static size_t Index(int i) { return static_cast<size_t>(i); }
-  std::unique_ptr<Process> StartRole(const std::string& name, int host,
-                                     const std::string& role,
-                                     const std::string& more);
+  int HostOf(int process) const;
 
+  HeldClusterOptions options_;
+  int entry_count_;
   std::string net_;
   std::string directory_;
   bool keeps_logs_ = false;
@@ -79,8 +106,23 @@
   std::unique_ptr<FaultProxy> store_proxy_;
   std::vector<std::unique_ptr<FaultProxy>> worker_proxies_;
   std::vector<std::unique_ptr<FakeWorker>> workers_;
-  std::vector<std::unique_ptr<Process>> guards_;
-  std::vector<std::unique_ptr<Process>> entries_;
+  std::vector<std::unique_ptr<FaultProxy>> link_proxies_;
+  std::vector<std::unique_ptr<Process>> processes_;
+};
+
+// A caller that keeps a connection to each entry open until the entry closes
+// it, and never sends a request twice by itself.
+class HeldCaller {
+ public:
+  explicit HeldCaller(HeldCluster* cluster) : cluster_(cluster) {}
+
+  HeldCluster::Answer HandIn(int entry, const std::string& id, int tasks,
+                             Millis run_time, const std::string& prefix,
+                             Millis patience);
+
+ private:
+  HeldCluster* cluster_;
+  std::map<int, std::unique_ptr<RawConnection>> connections_;
 };
 
 }  // namespace qs::test
--- a/tests/lib/raw_connection.cc
+++ b/tests/lib/raw_connection.cc
@@ -18,6 +18,12 @@
   name.sin_port = htons(address.port);
   connected_ =
       connect(fd_, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+  SetPatience(patience);
+}
+
+RawConnection::~RawConnection() { close(fd_); }
+
+void RawConnection::SetPatience(Millis patience) const {
   const auto seconds =
       std::chrono::duration_cast<std::chrono::seconds>(patience);
   const timeval limit{seconds.count(),
@@ -25,8 +31,6 @@
   setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 }
 
-RawConnection::~RawConnection() { close(fd_); }
-
 bool RawConnection::Send(const std::string& bytes) const {
   return send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
          static_cast<ssize_t>(bytes.size());
@@ -49,4 +53,11 @@
   return text;
 }
 
+std::string RawConnection::Read(size_t size) const {
+  std::string text(size, '\0');
+  const ssize_t count = recv(fd_, text.data(), size, MSG_WAITALL);
+  text.resize(count > 0 ? static_cast<size_t>(count) : 0);
+  return text;
+}
+
 }  // namespace qs::test
--- a/tests/lib/raw_connection.h
+++ b/tests/lib/raw_connection.h
@@ -17,12 +17,15 @@
   RawConnection& operator=(const RawConnection&) = delete;
 
   bool connected() const { return connected_; }
+  void SetPatience(Millis patience) const;
   // Whether all of it was taken.
   bool Send(const std::string& bytes) const;
   // Everything up to the peer's close.
   std::string ReadAll() const;
   // Up to and with `mark`, or to the peer's close.
   std::string ReadUntil(const std::string& mark) const;
+  // So many bytes, or up to the peer's close.
+  std::string Read(size_t size) const;
 
  private:
   int fd_;
