Soak held jobs with cuts, late workers and overlapping stops

Failures now overlap and end on their own: kills, pauses, rolling stops, reloads and changes of the configuration come in series, also to a process that is stopping. New: cuts between entries and guards (silence in one or both directions, resets, 0.6 to 4 s, two of five near 0.7 s), refused connections to a worker that runs on, calls that workers carry out up to 4 s late, slow workers, and tasks that outlast every lease. New promise: a process ends only when told to.

--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -1,16 +1,19 @@
 // Soak test of held jobs with real processes. Callers submit jobs while a
-// seeded schedule injects failures: signals to processes, proxies that delay,
-// mute, silence or reset connections, and faults of the store and the workers.
-// At the end it prints one line per promise with the number of violations; the
-// exit code depends on these numbers only.
+// seeded schedule injects failures, which overlap and end on their own: signals
+// to processes, proxies between processes, workers and the store that delay,
+// silence, reset or refuse connections, and faults of the store and the
+// workers. At the end it prints one line per promise with the number of
+// violations; the exit code depends on these numbers only.
 
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdio>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <thread>
 
@@ -23,41 +26,59 @@
 using qs::Clock;
 using qs::Instant;
 using qs::Millis;
+using qs::test::FakeWorker;
 using qs::test::FaultProxy;
+using qs::test::HeldCaller;
 using qs::test::HeldCluster;
+using Mode = FaultProxy::Mode;
 
-constexpr int kEntries = 2;
 constexpr int kMaxAttempts =
     3;  // Matches the queues that HeldCluster configures.
 // The platform's callers wait this long before they retry a job.
 constexpr Millis kRetryDelay{1300};
+// The same when no byte of it was sent.
+constexpr Millis kReconnectDelay{100};
+constexpr int kSubmissions = 4;  // Of one job by its caller, at most.
 constexpr Millis kCallerTimeout{6000};
 // Tolerance for an answer that is in transit when the caller times out.
 constexpr Millis kCallerTimeoutSlack{1500};
 // HeldCluster gives stopping processes a grace period of four seconds.
 constexpr Millis kLongestStop{5000};
+// A process that is told to stop before this age may not handle signals yet.
+constexpr Millis kSignalsHandled{2000};
 constexpr Millis kRecovery{20'000};
+constexpr Millis kTick{5};
 
 class HeldSoak {
  public:
-  HeldSoak(HeldCluster* cluster, const qs::SoakOptions& options)
-      : cluster_(cluster), options_(options), guards_(options.guards) {}
+  HeldSoak(HeldCluster* cluster, const qs::SoakOptions& options, int entries)
+      : cluster_(cluster),
+        options_(options),
+        entries_(entries),
+        guards_(options.guards),
+        random_(options.seed),
+        processes_(static_cast<size_t>(cluster->process_count())) {}
 
   void Run() {
     std::vector<std::thread> threads =
         qs::StartCallers(options_.callers, [this](int i) { Caller(i); });
     RunFailures();
-    EndFailures(true);
     stop_ = true;
     for (std::thread& thread : threads) thread.join();
     CheckRecovery();
-    StopAll();
+    for (int i = 0; i < cluster_->process_count(); ++i) Stop(i, std::nullopt);
+    WaitUntilSettled();
+    // Nothing renews the leases of runs now, so that all of them end.
+    qs::test::WaitUntil([&] { return cluster_->ledger().running() == 0; },
+                        kLongestStop);
   }
 
   // Prints the verdict and returns whether every promise held.
   bool Judge() {
-    violations_["one run of a task at a time"] = cluster_->ledger().doubled();
-    std::printf("starts %d, answers", cluster_->ledger().starts());
+    qs::test::RunLedger& ledger = cluster_->ledger();
+    violations_["one run of a task at a time"] = ledger.doubled();
+    std::printf("%s", ledger.DoubledHistory().c_str());
+    std::printf("starts %d, answers", ledger.starts());
     for (const auto& [status, count] : answers_) {
       std::printf(" %d:%d", status, count);
     }
@@ -72,40 +93,49 @@
   }
 
  private:
+  using Random = std::mt19937;
+
   void RecordViolation(const char* promise, const std::string& id, int status) {
     const std::lock_guard lock(mutex_);
     ++violations_[promise];
-    std::printf("%s: job %s, status %d\n%s", promise, id.c_str(), status,
+    std::printf("%s: %s, status %d\n%s", promise, id.c_str(), status,
                 cluster_->ledger().HistoryOf(id).c_str());
   }
 
-  // Submits one job after another. A job without an answer is retried at a
-  // random entry, as the platform's callers do.
+  // Submits one job after another over connections that it keeps open. A job
+  // without an answer is submitted again to another entry, as the platform's
+  // callers do.
   void Caller(int number) {
-    std::mt19937 random(options_.seed * 1000 + static_cast<uint32_t>(number));
+    Random random(options_.seed * 1000 + static_cast<uint32_t>(number));
+    HeldCaller caller(cluster_);
     while (!stop_) {
       const std::string id = cluster_->NextId();
       const int tasks = 1 + static_cast<int>(random() % 4);
-      const Millis run_time(5 + random() % 300);
-      bool was_sent_before = false;
+      // One task in eight outlasts every lease.
+      const Millis run_time(random() % 8 == 0 ? 1000 + random() % 3000
+                                              : 5 + random() % 300);
+      int entry = static_cast<int>(random()) & 0xffff;
+      int sent = 0;
       HeldCluster::Answer answer;
-      for (int attempt = 0; attempt < 3 && answer.status == 0; ++attempt) {
-        if (attempt > 0) std::this_thread::sleep_for(kRetryDelay);
-        // Some callers time out early and close their connection. They retry
-        // the job unless this was their last attempt.
+      for (int i = 0; i < kSubmissions && answer.status == 0; ++i) {
+        if (i > 0) {
+          std::this_thread::sleep_for(answer.was_sent ? kRetryDelay
+                                                      : kReconnectDelay);
+        }
+        // Some callers time out early and close their connection.
         const bool leaves = random() % 12 == 0;
         const Millis caller_timeout =
             leaves ? Millis(20 + random() % 300) : kCallerTimeout;
-        was_sent_before = attempt > 0;
-        const Instant sent = Clock::now();
-        answer = cluster_->HandIn(static_cast<int>(random() % kEntries), id,
-                                  tasks, run_time, "/q/", caller_timeout);
-        if (Clock::now() - sent > caller_timeout + kCallerTimeoutSlack) {
+        const Instant began = Clock::now();
+        answer = caller.HandIn(entry++ % entries_, id, tasks, run_time, "/q/",
+                               caller_timeout);
+        if (answer.was_sent) ++sent;
+        if (Clock::now() - began > caller_timeout + kCallerTimeoutSlack) {
           RecordViolation("callers are answered in time or cut off", id,
                           answer.status);
         }
       }
-      CheckAnswer(id, tasks, answer, was_sent_before);
+      CheckAnswer(id, tasks, answer, sent > 1);
       std::this_thread::sleep_for(Millis(random() % 40));
     }
   }
@@ -137,114 +167,330 @@
     }
   }
 
-  using Failure = void (HeldSoak::*)(int pick);
+  using Failure = void (HeldSoak::*)();
 
-  // Starts the failures of the schedule at random intervals. Failures overlap
-  // because EndFailures() runs only after some of them.
+  // Starts the failures of the schedule at random intervals. Each of them
+  // schedules its own end. Everything is drawn here, and nothing by what runs
+  // later, so that a seed always gives the same failures.
   void RunFailures() {
     struct Row {
       const char* name;
       Failure failure;
     };
     static constexpr std::array kRows = {
-        Row{"kill_guard", &HeldSoak::KillGuard},
-        Row{"pause_guard", &HeldSoak::PauseGuard},
-        Row{"stop_guard", &HeldSoak::StopGuard},
-        Row{"kill_entry", &HeldSoak::KillEntry},
-        Row{"pause_entry", &HeldSoak::PauseEntry},
-        Row{"stop_entry", &HeldSoak::StopEntry},
-        Row{"reload", &HeldSoak::Reload},
+        Row{"kill", &HeldSoak::KillSome},
+        Row{"pause", &HeldSoak::PauseSome},
+        Row{"stop", &HeldSoak::StopSome},
+        Row{"reload", &HeldSoak::ReloadSome},
         Row{"store_down", &HeldSoak::StoreDown},
         Row{"store_history", &HeldSoak::StoreHistory},
         Row{"store_link", &HeldSoak::StoreLink},
+        Row{"link_cut", &HeldSoak::CutLink},
+        Row{"host_cut", &HeldSoak::CutHosts},
+        Row{"host_cut", &HeldSoak::CutHosts},
         Row{"worker_link", &HeldSoak::WorkerLink},
         Row{"worker_link", &HeldSoak::WorkerLink},
+        Row{"worker_refuses", &HeldSoak::WorkerRefuses},
+        Row{"worker_late", &HeldSoak::WorkersLate},
+        Row{"worker_late", &HeldSoak::WorkersLate},
+        Row{"worker_slow", &HeldSoak::WorkerSlow},
         Row{"worker_fails", &HeldSoak::WorkerFails},
         Row{"worker_drains", &HeldSoak::WorkerDrains},
         Row{"configuration", &HeldSoak::ChangeConfiguration},
     };
-    std::mt19937 random(options_.seed);
     for (int i = 0; i < options_.failures; ++i) {
-      const Row& row = kRows[random() % kRows.size()];
+      const Row& row = kRows.at(random_() % kRows.size());
       ++injected_[row.name];
-      (this->*row.failure)(static_cast<int>(random() % 1000));
-      std::this_thread::sleep_for(Millis(50 + random() % 900));
-      if (random() % 3 == 0) EndFailures(false);
+      (this->*row.failure)();
+      WaitFor(Draw(30, 700));
+    }
+    WaitUntilSettled();
+  }
+
+  // Until all failures have ended and each process runs or stays down.
+  void WaitUntilSettled() {
+    const auto is_stopping = [](const ProcessState& process) {
+      return process.stops_by.has_value();
+    };
+    while (!scheduled_.empty() ||
+           std::any_of(processes_.begin(), processes_.end(), is_stopping)) {
+      WaitFor(kTick);
     }
   }
 
-  void KillGuard(int pick) { cluster_->StartGuard(pick % guards_); }
-  void PauseGuard(int pick) { cluster_->guard(pick % guards_).Signal(SIGSTOP); }
-  void StopGuard(int pick) {
-    const int i = pick % guards_;
-    Stop(&cluster_->guard(i));
-    cluster_->StartGuard(i);
+  // Runs what is scheduled and watches the processes for so long.
+  void WaitFor(Millis duration) {
+    const Instant end = Clock::now() + duration;
+    do {
+      while (!scheduled_.empty() && scheduled_.begin()->first <= Clock::now()) {
+        const auto action = std::move(scheduled_.begin()->second);
+        scheduled_.erase(scheduled_.begin());
+        action();
+      }
+      for (int i = 0; i < cluster_->process_count(); ++i) Watch(i);
+      std::this_thread::sleep_for(kTick);
+    } while (Clock::now() < end);
   }
-  void KillEntry(int pick) { cluster_->StartEntry(pick % kEntries); }
-  void PauseEntry(int pick) {
-    cluster_->entry(pick % kEntries).Signal(SIGSTOP);
+
+  void After(Millis delay, std::function<void()> action) {
+    scheduled_.emplace(Clock::now() + delay, std::move(action));
   }
-  void StopEntry(int pick) {
-    const int i = pick % kEntries;
-    Stop(&cluster_->entry(i));
-    cluster_->StartEntry(i);
+  Millis Draw(int from, int to) {
+    return Millis(
+        from + static_cast<int>(random_() % static_cast<uint32_t>(to - from)));
   }
-  void Reload(int pick) { cluster_->entry(pick % kEntries).Signal(SIGHUP); }
-  void StoreDown(int pick) {
-    cluster_->kv().SetDown(true);
-    if (pick % 2 == 0) cluster_->kv().EndLeases();
+  int DrawUpTo(int count) {
+    return static_cast<int>(random_() % static_cast<uint32_t>(count));
   }
-  void StoreHistory(int pick) {
-    cluster_->kv().Compact();
-    if (pick % 2 == 0) cluster_->kv().LoseNextReply();
+  // Two of five cuts are about as long as a home's lease.
+  Millis DrawCut() {
+    return DrawUpTo(5) < 2 ? Draw(600, 800) : Draw(600, 4000);
   }
-  void StoreLink(int pick) { cluster_->store_proxy().SetMode(ModeOf(pick)); }
-  void WorkerLink(int pick) {
-    cluster_->worker_proxy(pick % guards_).SetMode(ModeOf(pick / 7));
+  int DrawProcess() { return DrawUpTo(cluster_->process_count()); }
+  // An entry or a guard at even odds, however many there are of each.
+  int DrawRole() {
+    return DrawUpTo(2) == 0 ? DrawUpTo(entries_) : entries_ + DrawUpTo(guards_);
   }
-  void WorkerFails(int pick) {
-    cluster_->worker(pick % guards_).SetFailing(true);
+  Mode DrawMode() {
+    static constexpr std::array kModes = {
+        Mode::kDelay, Mode::kMute, Mode::kDeaf, Mode::kSilent, Mode::kReset};
+    return kModes.at(random_() % kModes.size());
   }
-  void WorkerDrains(int pick) {
-    cluster_->worker(pick % guards_).SetDraining(true);
+
+  // Processes.
+
+  struct ProcessState {
+    Instant started = Clock::now();
+    bool is_down = false;  // On purpose, until it is started again.
+    bool is_paused = false;
+    std::optional<Instant> stops_by;  // Was told to stop.
+    std::optional<Millis> downtime;   // Until it is started again after that.
+  };
+  ProcessState& state(int i) { return processes_.at(static_cast<size_t>(i)); }
+
+  void Start(int i) {
+    cluster_->StartProcess(i);
+    cluster_->link_proxy(i).SetListening(true);
+    state(i) = ProcessState();
   }
-  void ChangeConfiguration(int /*pick*/) {
-    ++version_;
-    cluster_->WriteCatalog(version_, version_ % 2 == 0);
+  void BringDown(int i, std::optional<Millis> downtime) {
+    // Where no process listens, the machine refuses connections.
+    cluster_->link_proxy(i).SetListening(false);
+    state(i).is_down = true;
+    state(i).stops_by.reset();
+    if (downtime) After(*downtime, [this, i] { Start(i); });
+  }
+  void Kill(int i, Millis downtime) {
+    if (state(i).is_down) return;
+    cluster_->process(i).Kill();
+    BringDown(i, downtime);
+  }
+  // Without a `downtime` it is not started again.
+  void Stop(int i, std::optional<Millis> downtime) {
+    if (state(i).is_down || state(i).stops_by) return;
+    cluster_->process(i).Signal(SIGTERM);
+    state(i).stops_by = Clock::now() + kLongestStop;
+    state(i).downtime = downtime;
+  }
+  void Signal(int i, int signal) {
+    if (!state(i).is_down) cluster_->process(i).Signal(signal);
+  }
+  void Pause(int i) {
+    Signal(i, SIGSTOP);
+    state(i).is_paused = true;
+  }
+  void Resume(int i) {
+    Signal(i, SIGCONT);
+    state(i).is_paused = false;
+    if (state(i).stops_by) state(i).stops_by = Clock::now() + kLongestStop;
   }
 
-  static FaultProxy::Mode ModeOf(int pick) {
-    static constexpr std::array kModes = {
-        FaultProxy::Mode::kDelay, FaultProxy::Mode::kMute,
-        FaultProxy::Mode::kSilent, FaultProxy::Mode::kReset};
-    return kModes[static_cast<size_t>(pick) % kModes.size()];
+  void Watch(int i) {
+    ProcessState& seen = state(i);
+    if (seen.is_down) return;
+    if (cluster_->process(i).running()) {
+      if (!seen.stops_by || seen.is_paused || Clock::now() < *seen.stops_by) {
+        return;
+      }
+      RecordViolation("a planned stop ends in its grace time", Name(i), -2);
+      cluster_->process(i).Kill();
+      return BringDown(i, seen.downtime);
+    }
+    const bool was_told = seen.stops_by.has_value();
+    const int code = cluster_->process(i).Wait(Millis(0));
+    const bool is_old = Clock::now() - seen.started > kSignalsHandled;
+    if (!was_told && is_old) {
+      RecordViolation("a process ends only when told to", Name(i), code);
+    }
+    if (was_told && code < 0 && is_old) {
+      RecordViolation("a planned stop ends in its grace time", Name(i), code);
+    }
+    BringDown(i, was_told ? seen.downtime : Millis(0));
   }
+  std::string Name(int i) const {
+    return i < entries_ ? "entry" + std::to_string(i)
+                        : "guard" + std::to_string(i - entries_);
+  }
+
+  // Each of these acts on one process, often several times in a row.
 
-  void Stop(qs::test::Process* process) {
-    process->Signal(SIGCONT);
-    process->Signal(SIGTERM);
-    if (process->Wait(kLongestStop) < 0) {
-      RecordViolation("a planned stop ends in its grace time", "-", 0);
+  void KillSome() {
+    const int i = DrawRole();
+    const int times = 1 + DrawUpTo(3);
+    Millis at(0);
+    for (int n = 0; n < times; ++n) {
+      const Millis downtime = Draw(0, 1500);
+      After(at, [this, i, downtime] { Kill(i, downtime); });
+      at += downtime + Draw(50, 1200);
+    }
+  }
+  void PauseSome() {
+    const int i = DrawRole();
+    const bool is_long = DrawUpTo(2) == 0;
+    const int times = is_long ? 1 : 1 + DrawUpTo(4);
+    Millis at(0);
+    for (int n = 0; n < times; ++n) {
+      const Millis length = is_long ? DrawCut() : Draw(30, 900);
+      After(at, [this, i] { Pause(i); });
+      After(at + length, [this, i] { Resume(i); });
+      at += length + Draw(20, 500);
+    }
+  }
+  // A rolling stop of some processes, with signals while they stop.
+  void StopSome() {
+    const int times = 1 + DrawUpTo(3);
+    Millis at(0);
+    for (int n = 0; n < times; ++n) {
+      const int i = DrawRole();
+      const Millis downtime = Draw(0, 1500);
+      After(at, [this, i, downtime] { Stop(i, downtime); });
+      if (DrawUpTo(4) == 0) {
+        After(at + Draw(20, 1500), [this, i, downtime] { Kill(i, downtime); });
+      }
+      at += Draw(50, 1500);
+    }
+  }
+  void ReloadSome() {
+    const int times = 1 + DrawUpTo(5);
+    for (int n = 0; n < times; ++n) {
+      const int i = DrawProcess();
+      After(Draw(0, 1000), [this, i] {
+        if (Clock::now() - state(i).started > kSignalsHandled) {
+          Signal(i, SIGHUP);
+        }
+      });
+    }
+  }
+
+  // Links between processes.
+
+  // Between an entry and a guard.
+  void CutLink() {
+    const int entry = DrawUpTo(entries_);
+    const int guard = entries_ + DrawUpTo(guards_);
+    const Mode mode = DrawMode();
+    cluster_->SetLink(entry, guard, mode);
+    After(DrawCut(), [this, entry, guard] {
+      cluster_->SetLink(entry, guard, Mode::kPass);
+    });
+  }
+  // Between one process, or each at some odds, and all others.
+  void CutHosts() {
+    const Mode mode = DrawMode();
+    const Millis length = DrawCut();
+    const int one = DrawRole();
+    const bool is_group = DrawUpTo(2) == 0;
+    for (int i = 0; i < cluster_->process_count(); ++i) {
+      const bool is_cut =
+          is_group ? i >= entries_ && DrawUpTo(2) == 0 : i == one;
+      if (!is_cut) continue;
+      CutHost(i, mode);
+      After(length, [this, i] { CutHost(i, Mode::kPass); });
+    }
+  }
+  void CutHost(int i, Mode mode) {
+    for (int other = 0; other < cluster_->process_count(); ++other) {
+      if (other != i) cluster_->SetLink(other, i, mode);
+    }
+  }
+
+  // The store.
+
+  void StoreDown() {
+    cluster_->kv().SetDown(true);
+    if (DrawUpTo(2) == 0) cluster_->kv().EndLeases();
+    After(DrawCut(), [this] { cluster_->kv().SetDown(false); });
+  }
+  void StoreHistory() {
+    cluster_->kv().Compact();
+    if (DrawUpTo(2) == 0) cluster_->kv().LoseNextReply();
+  }
+  void StoreLink() {
+    cluster_->store_proxy().SetMode(DrawMode());
+    After(DrawCut(), [this] { cluster_->store_proxy().SetMode(Mode::kPass); });
+  }
+  void ChangeConfiguration() {
+    const int times = 1 + DrawUpTo(4);
+    for (int n = 0; n < times; ++n) {
+      After(Draw(0, 800), [this] {
+        ++version_;
+        cluster_->WriteCatalog(version_, version_ % 2 == 0);
+      });
     }
   }
 
-  // Ends active failures and resumes every paused process. Unless `all` is set,
-  // workers with an even number keep failing or draining.
-  void EndFailures(bool all) {
-    cluster_->kv().SetDown(false);
-    cluster_->store_proxy().SetMode(FaultProxy::Mode::kPass);
-    for (int i = 0; i < kEntries; ++i) cluster_->entry(i).Signal(SIGCONT);
+  // Workers, which run on.
+
+  void WorkerLink() {
+    const int i = DrawUpTo(guards_);
+    cluster_->worker_proxy(i).SetMode(DrawMode());
+    After(DrawCut(),
+          [this, i] { cluster_->worker_proxy(i).SetMode(Mode::kPass); });
+  }
+  // New connections are refused. Open ones are reset or stay.
+  void WorkerRefuses() {
+    const int i = DrawUpTo(guards_);
+    FaultProxy& proxy = cluster_->worker_proxy(i);
+    proxy.SetListening(false);
+    if (DrawUpTo(3) > 0) {
+      proxy.SetMode(Mode::kReset);
+      After(kTick, [&proxy] { proxy.SetMode(Mode::kPass); });
+    }
+    After(DrawUpTo(2) == 0 ? Draw(10, 300) : DrawCut(),
+          [&proxy] { proxy.SetListening(true); });
+  }
+  // Calls get no answer and are carried out late, at many workers or one.
+  void WorkersLate() {
+    const auto share = [this] { return DrawUpTo(4) * 0.3; };
+    const bool is_one = DrawUpTo(2) == 0;
+    const int one = DrawUpTo(guards_);
     for (int i = 0; i < guards_; ++i) {
-      cluster_->guard(i).Signal(SIGCONT);
-      cluster_->worker_proxy(i).SetMode(FaultProxy::Mode::kPass);
-      if (!all && i % 2 == 0) continue;
-      cluster_->worker(i).SetFailing(false);
-      cluster_->worker(i).SetDraining(false);
+      const qs::test::LateCalls late{share(), share(), share(),
+                                     Draw(100, 4000)};
+      const Millis length = Draw(500, 5000);
+      if (is_one && i != one) continue;
+      cluster_->worker(i).SetLate(late);
+      After(length, [this, i] { cluster_->worker(i).SetLate({}); });
     }
   }
+  void WorkerSlow() {
+    FakeWorker& worker = cluster_->worker(DrawUpTo(guards_));
+    worker.SetSlowness(2 + DrawUpTo(7));
+    After(Draw(500, 5000), [&worker] { worker.SetSlowness(1); });
+  }
+  void WorkerFails() {
+    FakeWorker& worker = cluster_->worker(DrawUpTo(guards_));
+    worker.SetFailing(true);
+    After(Draw(100, 3000), [&worker] { worker.SetFailing(false); });
+  }
+  void WorkerDrains() {
+    FakeWorker& worker = cluster_->worker(DrawUpTo(guards_));
+    worker.SetDraining(true);
+    After(Draw(100, 3000), [&worker] { worker.SetDraining(false); });
+  }
 
   void CheckRecovery() {
-    for (int i = 0; i < kEntries; ++i) {
+    for (int i = 0; i < entries_; ++i) {
       const bool recovered = qs::test::WaitUntil(
           [&] {
             return cluster_->HandIn(i, cluster_->NextId(), 1, Millis(1))
@@ -252,7 +498,7 @@
           },
           kRecovery);
       if (!recovered) {
-        RecordViolation("jobs are served once failures stop", "-", i);
+        RecordViolation("jobs are served once failures stop", Name(i), 0);
       }
     }
     for (const std::string& id : refused_) {
@@ -262,14 +508,13 @@
     }
   }
 
-  void StopAll() {
-    for (int i = 0; i < kEntries; ++i) Stop(&cluster_->entry(i));
-    for (int i = 0; i < guards_; ++i) Stop(&cluster_->guard(i));
-  }
-
   HeldCluster* cluster_;
   qs::SoakOptions options_;
+  int entries_;
   int guards_;
+  Random random_;
+  std::vector<ProcessState> processes_;
+  std::multimap<Instant, std::function<void()>> scheduled_;
   uint64_t version_ = 2;
   std::atomic<bool> stop_{false};
   std::map<std::string, int> injected_;
@@ -282,6 +527,7 @@
       {"failed when a task failed too often", 0},
       {"a refusal says that nothing ran", 0},
       {"callers are answered in time or cut off", 0},
+      {"a process ends only when told to", 0},
       {"a planned stop ends in its grace time", 0},
       {"jobs are served once failures stop", 0},
   };
@@ -292,15 +538,23 @@
 int main(int argc, char** argv) {
   CLI::App app{"qsheldsoak: callers of held jobs against a seeded schedule"};
   qs::SoakOptions options{4, 1, 20, 8};
-  qs::AddSoakOptions(&app, &options);
+  qs::AddSoakOptions(&app, &options, HeldCluster::kMaxGuards);
+  qs::test::HeldClusterOptions cluster_options;
+  app.add_option("--entries", cluster_options.entries)
+      ->check(CLI::Range(1, HeldCluster::kMaxEntries));
+  app.add_option("--daemon", cluster_options.daemon,
+                 "the quetzalspindled to run, if not the one built here");
   CLI11_PARSE(app, argc, argv);
-  HeldCluster cluster(options.guards, kEntries);
+  cluster_options.guards = options.guards;
+  cluster_options.has_links = true;
+  HeldCluster cluster(cluster_options);
   std::printf("seed %u\n", options.seed);
   if (!cluster.WaitReady()) {
-    std::printf("the processes did not become ready\n");
+    std::printf("the processes did not become ready, logs: %s\n",
+                cluster.KeepLogs().c_str());
     return 1;
   }
-  HeldSoak soak(&cluster, options);
+  HeldSoak soak(&cluster, options, cluster_options.entries);
   soak.Run();
   return soak.Judge() ? 0 : 1;
 }
--- a/tools/lib/soak_frame.cc
+++ b/tools/lib/soak_frame.cc
@@ -4,12 +4,13 @@
 
 namespace qs {
 
-void AddSoakOptions(CLI::App* app, SoakOptions* options) {
-  app->add_option("--guards", options->guards)->check(CLI::Range(2, 50));
+void AddSoakOptions(CLI::App* app, SoakOptions* options, int max_guards) {
+  app->add_option("--guards", options->guards)
+      ->check(CLI::Range(2, max_guards));
   app->add_option("--seed", options->seed);
   app->add_option("--failures", options->failures)
       ->check(CLI::Range(0, 10'000));
-  app->add_option("--callers", options->callers)->check(CLI::Range(1, 100));
+  app->add_option("--callers", options->callers)->check(CLI::Range(1, 1000));
 }
 
 std::vector<std::thread> StartCallers(int count,
--- a/tools/lib/soak_frame.h
+++ b/tools/lib/soak_frame.h
@@ -18,7 +18,7 @@
   int callers = 0;
 };
 
-void AddSoakOptions(CLI::App* app, SoakOptions* options);
+void AddSoakOptions(CLI::App* app, SoakOptions* options, int max_guards = 50);
 
 // Runs `caller` on so many threads, with their numbers.
 std::vector<std::thread> StartCallers(int count,
