--- a/tests/lib/fake_worker.cc
+++ b/tests/lib/fake_worker.cc
@@ -20,6 +20,12 @@
 constexpr Millis kUnanswered{700};
 constexpr int kNoAnswer = 504;
 
+int64_t UnixMillis() {
+  return std::chrono::duration_cast<Millis>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string JobOf(const std::string& task) {
   return task.substr(0, task.find('.'));
 }
@@ -80,10 +86,8 @@
 
 void RunLedger::Note(const std::string& task, const std::string& run,
                      const std::string& what) {
-  const auto now = std::chrono::duration_cast<Millis>(
-      std::chrono::system_clock::now().time_since_epoch());
   history_by_job_[JobOf(task)] +=
-      std::to_string(now.count()) + " " + task + " " + run + " " + what + "\n";
+      std::to_string(UnixMillis()) + " " + task + " " + run + " " + what + "\n";
 }
 
 int RunLedger::failed_of(const std::string& job) {
@@ -117,9 +121,7 @@
       guard_(guard),
       cpu_(cpu),
       ledger_(ledger),
-      born_ms_(std::chrono::duration_cast<Millis>(
-                   std::chrono::system_clock::now().time_since_epoch())
-                   .count()),
+      born_ms_(UnixMillis()),
       random_(static_cast<uint32_t>(std::hash<std::string>()(id_))) {
   std::vector<HttpServer::Route> routes;
   const auto add = [&](const char* path, Handler handler,
@@ -153,12 +155,13 @@
 }
 
 int64_t FakeWorker::ClockNow() const {
-  return std::chrono::duration_cast<Millis>(Clock::now() - born_).count();
+  return std::chrono::duration_cast<Millis>(Clock::now() - born_.load())
+      .count();
 }
 
 HttpResponse FakeWorker::Answer(int status, json body) const {
   body["currentTimeMs"] = ClockNow();
-  body["born"] = born_ms_;
+  body["born"] = born_ms_.load();
   HttpResponse response;
   response.status = status;
   response.body = body.dump();
@@ -193,7 +196,7 @@
 
 void FakeWorker::Settle() {
   const Instant now = Clock::now();
-  const Instant lapses = born_ + Millis(lease_);
+  const Instant lapses = born_.load() + Millis(lease_);
   std::vector<std::tuple<Key, const char*, Instant>> over;
   for (const auto& [key, run] : running_) {
     if (now >= run.ends && run.ends <= lapses) {
@@ -210,8 +213,28 @@
   late_ = late;
 }
 
+void FakeWorker::Crash() {
+  is_down_ = true;
+  const std::lock_guard lock(mutex_);
+  Settle();
+  for (const auto& [key, run] : running_) {
+    ledger_->Ended(key.first, RunName(key), "crashed", Clock::now());
+  }
+  running_.clear();
+  highest_.clear();
+  ended_.clear();
+  late_calls_.clear();
+  fence_ = 0;
+  lease_ = 0;
+  next_end_ = 1;
+  born_ = Clock::now();
+  born_ms_ = UnixMillis();
+  changed_.notify_all();
+}
+
 HttpResponse FakeWorker::OnCall(Handler handler, double LateCalls::*share,
                                 const json& body) {
+  if (is_down_) return Answer(kNoAnswer, json::object());
   if (!PutOff(handler, share, body)) return (this->*handler)(body);
   const Instant until = Clock::now() + kUnanswered;
   while (Clock::now() < until && !is_stopping_) {
@@ -294,12 +317,14 @@
     return row.at(0).get<uint64_t>() <= seen;
   });
   const Instant until = Clock::now() + Millis(body.value("waitMs", int64_t{0}));
-  while (ended_.empty() && Clock::now() < until && !is_stopping_) {
+  const int64_t incarnation = born_ms_;
+  while (ended_.empty() && Clock::now() < until && !is_stopping_ && !is_down_) {
     Instant next = until;
     for (const auto& [key, run] : running_) next = std::min(next, run.ends);
     changed_.wait_until(lock, next);
     Settle();
   }
+  if (born_ms_ != incarnation) return Answer(kNoAnswer, json::object());
   json running = json::array();
   const Instant now = Clock::now();
   for (const auto& [key, run] : running_) {
@@ -316,7 +341,9 @@
   uint64_t sequence = 0;
   Instant next = Clock::now();
   while (!is_stopping_) {
-    if (Clock::now() >= next) {
+    if (is_down_) {
+      sequence = 0;
+    } else if (Clock::now() >= next) {
       SendHeartbeat(&caller, ++sequence);
       next = Clock::now() + kHeartbeat;
     }
@@ -348,7 +375,7 @@
       {"capacity", {{"cpu", cpu_}, {"memMb", 65'536}, {"gpu", 0}}},
       {"labels", {"a", "r1-1"}},
       {"currentTimeMs", ClockNow()},
-      {"born", born_ms_},
+      {"born", born_ms_.load()},
       {"seq",
        sequence}}.dump();
   (void)caller->Exchange(exchange);
--- a/tests/lib/fake_worker.h
+++ b/tests/lib/fake_worker.h
@@ -91,6 +91,10 @@
   void SetLate(const LateCalls& late);
   // Runs that start from now on take so many times as long.
   void SetSlowness(int factor) { slowness_ = factor; }
+  // Ends all runs and forgets everything, as a process that dies. It answers
+  // and announces nothing until Restart, under the same id and address.
+  void Crash();
+  void Restart() { is_down_ = false; }
   int starts() const { return starts_; }
 
  private:
@@ -127,8 +131,8 @@
   Address guard_;
   int64_t cpu_;
   RunLedger* ledger_;
-  Instant born_ = Clock::now();
-  int64_t born_ms_;
+  std::atomic<Instant> born_ = Clock::now();
+  std::atomic<int64_t> born_ms_;
   std::mutex mutex_;
   std::condition_variable changed_;
   uint64_t fence_ = 0;
@@ -143,6 +147,7 @@
   std::atomic<int> slowness_{1};
   std::atomic<bool> is_draining_{false};
   std::atomic<bool> is_failing_{false};
+  std::atomic<bool> is_down_{false};
   std::atomic<bool> is_stopping_{false};
   std::atomic<int> starts_{0};
   std::unique_ptr<HttpServer> http_;
--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -191,6 +191,7 @@
         Row{"worker_link", &HeldSoak::WorkerLink},
         Row{"worker_link", &HeldSoak::WorkerLink},
         Row{"worker_refuses", &HeldSoak::WorkerRefuses},
+        Row{"worker_crash", &HeldSoak::WorkerCrash},
         Row{"worker_late", &HeldSoak::WorkersLate},
         Row{"worker_late", &HeldSoak::WorkersLate},
         Row{"worker_slow", &HeldSoak::WorkerSlow},
@@ -459,6 +460,19 @@
     After(DrawUpTo(2) == 0 ? Draw(10, 300) : DrawCut(),
           [&proxy] { proxy.SetListening(true); });
   }
+  // The worker starts again under its old id and address.
+  void WorkerCrash() {
+    const int i = DrawUpTo(guards_);
+    FaultProxy& proxy = cluster_->worker_proxy(i);
+    cluster_->worker(i).Crash();
+    proxy.SetListening(false);
+    proxy.SetMode(Mode::kReset);
+    After(Draw(100, 1500), [this, i, &proxy] {
+      proxy.SetMode(Mode::kPass);
+      proxy.SetListening(true);
+      cluster_->worker(i).Restart();
+    });
+  }
   // Calls get no answer and are carried out late, at many workers or one.
   void WorkersLate() {
     const auto share = [this] { return DrawUpTo(4) * 0.3; };
