Report a start as over only when all its copies are

Callers saw: a job refused as "never runs" starts (REFUSED); a task that is repeated while its first start may still be carried out (TWICE). Cause: a start without an answer is sent up to three times, and counts as not started once the worker's clock is past the deadline of the newest copy. Since the worker's lease is limited by the run that must end first, a later copy may have an earlier deadline, for example after an order of another home with an old echo. Class: an end concluded from an answer that does not prove it. Evidence: AStartIsOverOnlyWhenAllItsCopiesAre failed before at 1250 ms, the first copy's deadline being 1610 ms. Change: the latest deadline of all copies counts.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -397,14 +397,18 @@
 void RunSupervisor::CallStart(Run* run, Instant now) {
   const std::optional<Millis> deadline = LeaseDeadline(now);
   assert(worker_.has_value());
-  run->start_deadline = deadline.value_or(Millis(0));
+  const Millis call_deadline = deadline.value_or(Millis(0));
+  // The deadline of an earlier copy may be later, if it was sent before the
+  // lease was limited.
+  run->start_deadline =
+      std::max(run->start_deadline.value_or(Millis(0)), call_deadline);
   run->start_sent_at = now;
   ++run->start_calls;
-  NoteRenewal(*run->start_deadline, now);
+  NoteRenewal(call_deadline, now);
   actions_.emplace_back(SendStart{
       run->key, worker_generation_,
       StartCall{worker_->incarnation, fence_.value(), run->order.task,
-                run->order.attempt, run->order.payload, *run->start_deadline}});
+                run->order.attempt, run->order.payload, call_deadline}});
 }
 
 void RunSupervisor::OnStartReply(const SendStart& start,
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -182,7 +182,7 @@
     uint32_t percent = 0;   // Last reported progress.
     Instant progressed_at;  // When `percent` last changed.
     uint32_t start_calls = 0;
-    // Deadline of the newest start call, on the worker's clock.
+    // Latest deadline of the start calls, on the worker's clock.
     std::optional<Millis> start_deadline;
     bool may_have_started = false;
     bool stop_confirmed = false;
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "held_harness.h"
 
 namespace qs::test {
@@ -104,6 +106,47 @@
   EXPECT_EQ(starts_.back().call.task, "t9");
 }
 
+// Guards against a run that is reported as not started while an earlier copy of
+// its start can still be carried out: a later copy may have an earlier
+// deadline.
+TEST_F(RunSupervisorTest, AStartIsOverOnlyWhenAllItsCopiesAre) {
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  for (int64_t ms = 100; ms <= 600; ms += 100) {
+    AnswerPoll(ms, {}, {});
+    EchoReport(kSession, ms);
+  }
+  PlaceOrders(610, {MakeOrder(1, "t1")});
+  ASSERT_EQ(starts_.size(), 1U);
+  const Millis first_deadline = starts_[0].call.deadline;
+  RunOrders orders;
+  orders.echo = 10'013;  // The report of 12 ms.
+  orders.orders = {MakeOrder(2, "t2")};
+  supervisor_.OnOrders(kOtherSession, orders, At(615));
+  CollectActions(615);
+  ASSERT_EQ(starts_.size(), 2U);
+  AcceptStart(starts_[1], 616);
+  for (const int64_t ms : {690, 770, 850}) {
+    supervisor_.OnStartReply(starts_[ms == 690 ? 0 : starts_.size() - 1],
+                             {WorkerVerdict::kNoAnswer, std::nullopt}, At(ms));
+    CollectActions(ms);
+  }
+  ASSERT_EQ(starts_.size(), 4U);
+  ASSERT_LT(starts_.back().call.deadline, first_deadline);
+  const auto end_of_first = [&] {
+    return std::count_if(ends_.begin(), ends_.end(),
+                         [](const RunEnd& end) { return end.number == 1; });
+  };
+  for (int64_t ms = 900; Millis(100'000 + ms) <= first_deadline; ms += 50) {
+    EchoReport(kSession, ms);
+    AnswerPoll(ms, {}, {});
+    EXPECT_EQ(end_of_first(), 0) << "at " << ms;
+  }
+  const int64_t over = first_deadline.count() - 100'000 + 1;
+  AnswerPoll(over, {}, {});
+  EXPECT_EQ(end_of_first(), 1);
+}
+
 TEST_F(RunSupervisorTest, AStartDoesNotOutliveItsLease) {
   PlaceOrders(10, {MakeOrder(1, "t1")});
   ASSERT_EQ(starts_.size(), 1U);
