Start nothing before an announced worker has answered

Cause: an announcement made a worker serving at once. A late announcement of an incarnation that has ended was believed after the guard had lost its worker, and the successor with the same id carried out the starts; the next poll told the guard of another incarnation, and it reported the runs as lost while they went on. Class: a conclusion from one message that need not be fresh. Evidence: NothingStartsBeforeAnAnnouncedWorkerHasAnswered failed before (a start, and a first poll that waits 400 ms). In the simulation a late call is lost with the connection to a worker that has ended, as with TCP. Change: a worker serves once its incarnation has answered a poll, and the first poll does not wait.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -135,6 +135,7 @@
   worker_ = announcement;
   ++offer_version_;
   last_end_number_ = 0;
+  has_answered_ = false;
   clock_.Update(announcement.worker_clock, now);
   next_long_poll_at_ = now;
   last_answer_ = now;
@@ -694,6 +695,7 @@
   clock_.Update(reply.worker_clock, now);
   fence_.OnAccepted();
   last_answer_ = now;
+  has_answered_ = true;
   refuses_connections_ = false;
   next_long_poll_at_ = now;
   for (const PollReply::Ended& ended : reply.ended) OnEnded(ended, now);
@@ -996,6 +998,9 @@
   // Runs of an earlier process of this guard may still occupy capacity that is
   // not included in `used_`.
   if (!is_settled_) return ServingState::kAbsent;
+  // The announcement may be a late one of an earlier incarnation, and starts
+  // would be carried out by the present one.
+  if (!has_answered_) return ServingState::kAbsent;
   if (refuses_connections_ || is_withdrawn_) return ServingState::kAbsent;
   if (now - last_answer_ > options_.silent_after) return ServingState::kAbsent;
   // The worker does not carry out a stop, so its lease is about to expire.
@@ -1107,7 +1112,7 @@
   // the leases of runs that this guard has given up by then.
   const bool is_silent =
       refuses_connections_ || now - last_answer_ > options_.renew_until;
-  if (is_silent) call.wait = Millis(0);
+  if (is_silent || !has_answered_) call.wait = Millis(0);
   if (!runs_.empty() && !is_silent) {
     call.deadline = LeaseDeadline(now);
     if (call.deadline) NoteRenewal(*call.deadline, now);
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -290,6 +290,8 @@
   bool is_stopping_ = false;
   // No run that an earlier process of this guard started can still be running.
   bool is_settled_ = false;
+  // The present incarnation of the worker has answered a poll.
+  bool has_answered_ = false;
   // The worker's address refused the newest connection that a poll needed.
   bool refuses_connections_ = false;
   // The worker's incarnation has said that it is about to end.
--- a/tests/held_property_test.cc
+++ b/tests/held_property_test.cc
@@ -109,6 +109,8 @@
   int64_t clock_began_at = 0;
   int64_t clock_speed = 1000;
   uint64_t incarnation = 1;
+  // Calls name the id only. A worker that starts again may keep it.
+  bool keeps_id = false;
   bool is_up = true;
   uint64_t fence = 0;
   int64_t lease_until = 0;
@@ -508,7 +510,9 @@
       auto reply = std::make_shared<WorkerReply>();
       if (fate.refusal) reply->verdict = *fate.refusal;
       if (is_carried_out) {
-        Schedule(delay, [this, i, call = start->call, reply, is_refused] {
+        Schedule(delay, [this, i, call = start->call, reply, is_refused,
+                         addressee = workers_[i].incarnation] {
+          if (IsLostWithItsConnection(i, addressee)) return;
           const WorkerReply result = CarryOutStart(i, call);
           if (!is_refused) *reply = result;
         });
@@ -522,7 +526,9 @@
       auto reply = std::make_shared<WorkerReply>();
       if (fate.refusal) reply->verdict = *fate.refusal;
       if (is_carried_out) {
-        Schedule(delay, [this, i, call = stop->call, reply, is_refused] {
+        Schedule(delay, [this, i, call = stop->call, reply, is_refused,
+                         addressee = workers_[i].incarnation] {
+          if (IsLostWithItsConnection(i, addressee)) return;
           const WorkerReply result = CarryOutStop(i, call);
           if (!is_refused) *reply = result;
         });
@@ -536,7 +542,9 @@
       auto reply = std::make_shared<PollReply>();
       if (fate.refusal) reply->verdict = *fate.refusal;
       if (is_carried_out) {
-        Schedule(delay, [this, i, call = hold->call, reply, is_refused] {
+        Schedule(delay, [this, i, call = hold->call, reply, is_refused,
+                         addressee = workers_[i].incarnation] {
+          if (IsLostWithItsConnection(i, addressee)) return;
           PollReply result = CarryOutHold(i, call);
           if (!is_refused) *reply = std::move(result);
         });
@@ -550,11 +558,17 @@
     }
   }
 
+  // A call that is carried out late does not reach a worker that has started
+  // again since, as its connection ended with the worker.
+  bool IsLostWithItsConnection(int i, uint64_t addressee) const {
+    return workers_[i].keeps_id && workers_[i].incarnation != addressee;
+  }
+
   WorkerVerdict CheckCall(int i, const WorkerIncarnation& incarnation,
                           uint64_t fence) {
     SimWorker& worker = workers_[i];
     if (!worker.is_up) return WorkerVerdict::kUnreachable;
-    if (incarnation.started_at != worker.incarnation) {
+    if (incarnation.started_at != worker.incarnation && !worker.keeps_id) {
       return WorkerVerdict::kOtherIncarnation;
     }
     if (fence < worker.fence) return WorkerVerdict::kFenced;
@@ -774,6 +788,7 @@
     const uint64_t incarnation = workers_[i].incarnation + 1;
     workers_[i] = SimWorker();
     workers_[i].incarnation = incarnation;
+    workers_[i].keeps_id = RandomBelow(2) == 0;
     workers_[i].is_up = false;
     BeginClock(i, now_);
     Schedule(after, [this, i, incarnation] {
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -281,6 +281,25 @@
   EXPECT_EQ(supervisor_.worker()->incarnation.started_at, 2000U);
 }
 
+// Guards against two runs of one task: a late announcement of an incarnation
+// that has ended must not lead to starts, which its successor with the same id
+// would carry out.
+TEST_F(RunSupervisorTest, NothingStartsBeforeAnAnnouncedWorkerHasAnswered) {
+  supervisor_.OnWithdrawn({"w", 1000}, At(20));
+  supervisor_.OnAnnouncement(MakeAnnouncement(900, 1), At(30));
+  CollectActions(30);
+  EXPECT_EQ(long_poll_.call.wait, Millis(0));
+  PlaceOrders(40, {MakeOrder(1, "t1")});
+  EXPECT_TRUE(starts_.empty());
+  worker_started_at_ = 2000;
+  AnswerPoll(50, {}, {});
+  EXPECT_EQ(supervisor_.state(At(50)), ServingState::kAbsent);
+  supervisor_.OnAnnouncement(MakeAnnouncement(2000, 1), At(60));
+  CollectActions(60);
+  AnswerPoll(62, {}, {});
+  EXPECT_EQ(supervisor_.state(At(62)), ServingState::kServing);
+}
+
 TEST_F(RunSupervisorTest, ANewIncarnationOfTheWorkerEndsTheRunsOfTheOld) {
   PlaceOrders(10, {MakeOrder(1, "t1")});
   AcceptStart(starts_[0], 11);
