Soak the pattern of slow workers, late calls and cuts at once

All workers are slow and carry out most calls late while guards are cut off: runs outlast the cut, and the stops that it calls for are late. The stand-in for the store gets threads for every process, as 100 of them never became ready with 32.

--- a/tests/lib/fake_kv.cc
+++ b/tests/lib/fake_kv.cc
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-FakeKv::FakeKv(Address address) {
+FakeKv::FakeKv(Address address, uint32_t threads) {
   std::vector<HttpServer::Route> routes;
   const auto add = [&](const char* method, const char* path,
                        HttpResponse (FakeKv::*handler)(const HttpRequest&)) {
@@ -42,7 +42,7 @@
   add("POST", "/-/kv-keep/", &FakeKv::OnKeep);
   HttpServerOptions options;
   options.address = address;
-  options.threads = 32;
+  options.threads = threads;
   options.no_such_route = [] { return Reply(404, json::object()); };
   options.too_large = [](size_t) { return Reply(413, json::object()); };
   auto http = HttpServer::Make(std::move(options), std::move(routes));
--- a/tests/lib/fake_kv.h
+++ b/tests/lib/fake_kv.h
@@ -17,7 +17,8 @@
 // A stand-in for the platform's metadata store, as far as the product uses it.
 class FakeKv {
  public:
-  explicit FakeKv(Address address);
+  // Each open connection occupies a thread.
+  explicit FakeKv(Address address, uint32_t threads = 32);
   ~FakeKv();
 
   // As an operator would write it.
--- a/tests/lib/held_cluster.cc
+++ b/tests/lib/held_cluster.cc
@@ -46,7 +46,9 @@
   if (options_.daemon.empty()) {
     options_.daemon = Cluster::ProgramPath("quetzalspindled");
   }
-  kv_ = std::make_unique<FakeKv>(At(kStoreHost, 9001));
+  kv_ = std::make_unique<FakeKv>(
+      At(kStoreHost, 9001),
+      static_cast<uint32_t>(32 + 3 * (options.entries + options.guards)));
   store_proxy_ =
       std::make_unique<FaultProxy>(At(kStoreHost, 9000), At(kStoreHost, 9001));
   WriteCatalog(1, true);
--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -195,6 +195,7 @@
         Row{"worker_late", &HeldSoak::WorkersLate},
         Row{"worker_late", &HeldSoak::WorkersLate},
         Row{"worker_slow", &HeldSoak::WorkerSlow},
+        Row{"slow_late_cut", &HeldSoak::SlowLateCut},
         Row{"worker_fails", &HeldSoak::WorkerFails},
         Row{"worker_drains", &HeldSoak::WorkerDrains},
         Row{"configuration", &HeldSoak::ChangeConfiguration},
@@ -400,15 +401,33 @@
     const Mode mode = DrawMode();
     const Millis length = DrawCut();
     const int one = DrawRole();
-    const bool is_group = DrawUpTo(2) == 0;
-    for (int i = 0; i < cluster_->process_count(); ++i) {
-      const bool is_cut =
-          is_group ? i >= entries_ && DrawUpTo(2) == 0 : i == one;
-      if (!is_cut) continue;
+    if (DrawUpTo(2) == 0) return CutGuards(mode, length);
+    CutHost(one, mode);
+    After(length, [this, one] { CutHost(one, Mode::kPass); });
+  }
+  // Each guard at even odds.
+  void CutGuards(Mode mode, Millis length) {
+    for (int i = entries_; i < cluster_->process_count(); ++i) {
+      if (DrawUpTo(2) == 0) continue;
       CutHost(i, mode);
       After(length, [this, i] { CutHost(i, Mode::kPass); });
     }
   }
+  // Runs outlast the cut, and the stops that it calls for are late.
+  void SlowLateCut() {
+    constexpr Millis kLength{4000};
+    constexpr double kShare = 0.7;
+    for (int i = 0; i < guards_; ++i) {
+      FakeWorker& worker = cluster_->worker(i);
+      worker.SetSlowness(6);
+      worker.SetLate({kShare, kShare, kShare, kLength});
+      After(kLength, [&worker] {
+        worker.SetSlowness(1);
+        worker.SetLate({});
+      });
+    }
+    CutGuards(Mode::kSilent, DrawCut());
+  }
   void CutHost(int i, Mode mode) {
     for (int other = 0; other < cluster_->process_count(); ++other) {
       if (other != i) cluster_->SetLink(other, i, mode);
