--- a/tests/lib/held_cluster.cc
+++ b/tests/lib/held_cluster.cc
@@ -23,8 +23,6 @@
 constexpr int kPeerPort = 7000;
 // Where connect_redirect.cc sends what is meant for kPeerPort.
 constexpr int kLinkPort = 7500;
-// The kernel rounds the time limits of sockets up to its ticks.
-constexpr Millis kTimerRounding{8};
 constexpr std::string_view kLengthHeader = "Content-Length: ";
 
 json Route(const std::string& name, const std::string& prefix) {
@@ -190,8 +188,7 @@
         std::make_unique<RawConnection>(cluster_->EntryAt(entry, 8000));
   }
   if (!connection->connected()) return {0, "", false};
-  const Millis left = patience - Elapsed(began, Clock::now()) - kTimerRounding;
-  connection->SetPatience(std::max(left, Millis(1)));
+  connection->SetPatience(patience);
   HeldCluster::Answer answer;
   answer.was_sent = connection->Send(
       "POST " + prefix + id + " HTTP/1.1\r\nHost: jobs.example\r\n" +
@@ -199,6 +196,9 @@
       std::to_string(patience.count()) +
       "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
   if (!answer.was_sent) return answer;
+  // Leaves no later than the time that the entry was told.
+  const Millis left = patience - Elapsed(began, Clock::now()) - Millis(1);
+  if (!connection->WaitForData(std::max(left, Millis(0)))) return answer;
   const std::string head = connection->ReadUntil("\r\n\r\n");
   const size_t length = head.find(kLengthHeader);
   if (length == std::string::npos) return answer;
--- a/tests/lib/raw_connection.cc
+++ b/tests/lib/raw_connection.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -36,6 +37,11 @@
          static_cast<ssize_t>(bytes.size());
 }
 
+bool RawConnection::WaitForData(Millis patience) const {
+  pollfd watched{fd_, POLLIN, 0};
+  return poll(&watched, 1, static_cast<int>(patience.count())) > 0;
+}
+
 std::string RawConnection::ReadAll() const {
   std::string all;
   std::array<char, 4096> buffer{};
--- a/tests/lib/raw_connection.h
+++ b/tests/lib/raw_connection.h
@@ -18,6 +18,9 @@
 
   bool connected() const { return connected_; }
   void SetPatience(Millis patience) const;
+  // Whether data or the peer's close came in time. More exact than a read,
+  // whose patience is rounded up to ticks of the kernel.
+  bool WaitForData(Millis patience) const;
   // Whether all of it was taken.
   bool Send(const std::string& bytes) const;
   // Everything up to the peer's close.
