Count no lease as expired after a suspend, and none from a late order

Cause: (a) Since the clock goes on during a suspend, a guard that resumed concluded at once that the worker's lease had expired, or that the runs of its predecessor were over. A worker that was suspended along with it still has its leases. (b) The limit of a withdrawn run counted from the arrival of the order to stop it, so that an order that was held up for 600 ms put the end off by as much, beyond the 1300 ms after which the caller submits its job again. Class: time alone taken for an end, and a limit that another party extends. Evidence: ASuspendedGuardDoesNotCountTheWorkersLeaseAsExpired failed before (the run reported as ended with the stop still to be sent), and so did AStopThatArrivesLateDoesNotPutOffTheEndOfTheRun (a lease until 1800 ms after an echo, instead of 1200 ms). Change: both times count anew from the end of a suspend, and the limit counts from the report that the order echoes; a home's echo limits its runs in any case. AnUnansweredStartEndsOnlyAtItsLatestDeadline expected the limit from the arrival (1220 ms); it expects the earlier one now.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -90,6 +90,7 @@
       fence_(fence),
       log_(log),
       started_(now),
+      unsettled_since_(now),
       next_long_poll_at_(now),
       last_answer_(now - options.silent_after),
       last_renewal_(now),
@@ -228,12 +229,10 @@
   Instant limit = now + options_.longest_lease;
   for (const auto& [key, run] : runs_) {
     if (run.phase == Phase::kQueued) continue;
-    if (run.must_end_by) {
-      limit = std::min(limit, *run.must_end_by);
-      continue;
-    }
+    if (run.must_end_by) limit = std::min(limit, *run.must_end_by);
     const auto session = sessions_.find(run.session);
-    assert(session != sessions_.end());
+    assert(run.must_end_by || session != sessions_.end());
+    if (session == sessions_.end()) continue;
     limit = std::min(limit,
                      EchoTime(session->second) + options_.unstopped_run_limit);
   }
@@ -309,7 +308,9 @@
   for (const uint64_t number : orders.stops) {
     const auto run = runs_.find({home.home, number});
     if (run == runs_.end()) continue;
-    LimitRun(&run->second, now);
+    // The order may have been held up; the home sent it after the report that
+    // it echoes.
+    LimitRun(&run->second, std::min(now, TimeOfStamp(orders.echo)));
     StopRun(&run->second, Reason::kWithdrawn, now);
   }
   StartReady(now);
@@ -399,8 +400,11 @@
 }
 
 Instant RunSupervisor::EchoTime(const HomeSession& home) const {
-  if (!home.has_echo) return started_;
-  return started_ + Millis(home.echo) - Millis(1);
+  return home.has_echo ? TimeOfStamp(home.echo) : started_;
+}
+
+Instant RunSupervisor::TimeOfStamp(uint64_t stamp) const {
+  return started_ + Millis(stamp) - Millis(1);
 }
 
 uint64_t RunSupervisor::ReportStamp(Instant now) const {
@@ -908,9 +912,12 @@
   // The worker may have been suspended as well, so that its clock is behind the
   // estimate.
   clock_.Reset();
+  // The worker's leases may not have expired meanwhile.
+  last_renewal_ = now;
+  unsettled_since_ = now;
   for (auto& [session, home] : sessions_) {
-    home.has_echo = false;
     LimitRunsOfSession(session, EchoTime(home));
+    home.has_echo = false;
     StopRunsOfHome(home.home, Reason::kHomeSilent, now);
   }
 }
@@ -944,7 +951,7 @@
 }
 
 void RunSupervisor::CheckWorker(Instant now) {
-  if (!is_settled_ && now - started_ > LeaseDuration()) {
+  if (!is_settled_ && now - unsettled_since_ > LeaseDuration()) {
     // The leases of all runs that an earlier process of this guard started have
     // expired.
     is_settled_ = true;
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -275,6 +275,8 @@
   bool IsHomeLeaseValid(const HomeSession& home, Instant now) const;
   // When the newest report that the home has echoed was sent.
   Instant EchoTime(const HomeSession& home) const;
+  // When the report with this stamp was sent.
+  Instant TimeOfStamp(uint64_t stamp) const;
   int64_t QueuedCpu() const;
   uint64_t QueuedWork() const;
   RunReport MakeReport(uint64_t session, HomeSession* home, Instant now) const;
@@ -283,6 +285,8 @@
   FencingToken fence_;
   DecisionLog* log_;
   Instant started_;
+  // Start of this process, or the end of its last suspension.
+  Instant unsettled_since_;
   std::optional<WorkerAnnouncement> worker_;
   // Rises when an incarnation of the worker ends. Answers to calls of an
   // earlier generation are ignored.
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -231,6 +231,43 @@
   EXPECT_LT(lease_end, Millis(100'020 + 1300));
 }
 
+// Guards against two runs of one task: a worker that was suspended along with
+// its guard still has its leases when both resume.
+TEST_F(RunSupervisorTest, ASuspendedGuardDoesNotCountTheWorkersLeaseAsExpired) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnSuspended(At(1400));
+  supervisor_.OnTimer(At(1400));
+  CollectActions(1400);
+  EXPECT_EQ(stops_.size(), 1U);
+  EXPECT_TRUE(ends_.empty());
+}
+
+// Guards against two runs of one task: an order to stop that was held up does
+// not put off the time by which the run must have ended.
+TEST_F(RunSupervisorTest, AStopThatArrivesLateDoesNotPutOffTheEndOfTheRun) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  RunOrders held_up;
+  held_up.echo = reports_[kSession].stamp;
+  const uint64_t echo = held_up.echo;
+  held_up.stops = {1};
+  supervisor_.OnOrders(kSession, held_up, At(600));
+  CollectActions(600);
+  Millis lease_end{0};
+  for (int64_t ms = 620; ms <= 3000; ms += 20) {
+    EchoReport(kSession, ms);
+    supervisor_.OnTimer(At(ms));
+    CollectActions(ms);
+    if (ms % 100 == 0) AnswerPoll(ms, {{"t1", 1, 10}}, {});
+    lease_end =
+        std::max(lease_end, long_poll_.call.deadline.value_or(Millis(0)));
+  }
+  // The supervisor's stamps count from ten seconds before the test began.
+  const auto echo_ms = static_cast<int64_t>(echo) - 1 - 10'000;
+  EXPECT_LE(lease_end, Millis(100'000 + echo_ms + 1200));
+}
+
 // Guards against a lease that is measured from the late arrival of a call: a
 // worker that was suspended along with its guard has an earlier clock than the
 // guard's estimate.
@@ -374,11 +411,11 @@
     AnswerPoll(ms, {{"t1", 1, static_cast<uint32_t>(ms / 100)}}, {});
   }
   // The stop of t1 is not carried out, so the lease is not extended beyond
-  // 1220 ms.
+  // 1200 ms after the report that the home had echoed with it.
   PlaceOrders(905, {MakeOrder(2, "t2")});
   ASSERT_EQ(starts_.size(), 2U);
   const Millis first_deadline = starts_[1].call.deadline;
-  EXPECT_EQ(first_deadline, Millis(100'000 + 1220));
+  EXPECT_EQ(first_deadline, Millis(100'000 + 1200));
   for (int64_t ms = 1300; ms <= 1310; ms += 10) {
     supervisor_.OnStartReply(starts_.back(),
                              {WorkerVerdict::kNoAnswer, std::nullopt}, At(ms));
