Take a withdrawal without a body for one of the worker's id

The platform's workers send none in it, so that every withdrawal was refused in the log, and the worker was only found to be gone by its refused connections. The codec test and AWorkerThatAnnouncesItselfAgainIsNotWithdrawn failed before. Change: an empty body names the id only. Such a withdrawal may be a late one of an earlier incarnation, so that a later announcement of the worker voids it; one that names the incarnation stays in force.

--- a/include/quetzalspindle/worker_protocol.h
+++ b/include/quetzalspindle/worker_protocol.h
@@ -143,7 +143,8 @@
       const std::string& id, const std::string& body) const {
     return OnDecodeAnnouncement(id, body);
   }
-  // Returns the incarnation that withdraws itself.
+  // Returns the incarnation that withdraws itself. Its start time is zero if
+  // the message does not say it.
   Checked<WorkerIncarnation> DecodeWithdrawal(const std::string& id,
                                               const std::string& body) const {
     return OnDecodeWithdrawal(id, body);
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -119,6 +119,8 @@
   if (announcement.sequence <= worker_->sequence) return;
   const bool began_draining = announcement.is_draining && !worker_->is_draining;
   if (!HasSameOffer(announcement, *worker_)) ++offer_version_;
+  // A withdrawal without a start time was a late one of an earlier incarnation.
+  if (!is_withdrawal_certain_) is_withdrawn_ = false;
   worker_ = announcement;
   clock_.Update(announcement.worker_clock, now);
   if (began_draining) {
@@ -158,7 +160,11 @@
 // on, so they are tracked until their end is certain.
 void RunSupervisor::OnWithdrawn(const WorkerIncarnation& incarnation,
                                 Instant now) {
-  if (!worker_ || worker_->incarnation != incarnation) {
+  const bool is_present =
+      worker_ && worker_->incarnation.id == incarnation.id &&
+      (incarnation.started_at == 0 ||
+       incarnation.started_at == worker_->incarnation.started_at);
+  if (!is_present) {
     log_->Record(
         "withdrawal_ignored",
         {{"worker", incarnation.id},
@@ -171,6 +177,7 @@
                 {"started_at", Text(incarnation.started_at)},
                 {"runs", Text(runs_.size())}});
   is_withdrawn_ = true;
+  is_withdrawal_certain_ = incarnation.started_at != 0;
   GiveUpWorker(now);
 }
 
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -306,6 +306,7 @@
   bool refuses_connections_ = false;
   // The worker's incarnation has said that it is about to end.
   bool is_withdrawn_ = false;
+  bool is_withdrawal_certain_ = false;  // The message named the incarnation.
   bool long_poll_in_flight_ = false;
   bool immediate_poll_in_flight_ = false;
   bool must_poll_now_ = false;  // The next immediate poll must not be delayed.
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -317,6 +317,19 @@
   EXPECT_EQ(supervisor_.worker()->incarnation.started_at, 2000U);
 }
 
+// Guards against a worker that stays unused for ever: a withdrawal without a
+// start time may be a late one of an earlier incarnation.
+TEST_F(RunSupervisorTest, AWorkerThatAnnouncesItselfAgainIsNotWithdrawn) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnWithdrawn({"w", 0}, At(20));
+  CollectActions(20);
+  EXPECT_TRUE(ends_.empty());
+  EXPECT_EQ(supervisor_.state(At(20)), ServingState::kAbsent);
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 2), At(30));
+  EXPECT_EQ(supervisor_.state(At(30)), ServingState::kServing);
+}
+
 // Guards against two runs of one task: a late announcement of an incarnation
 // that has ended must not lead to starts, which its successor with the same id
 // would carry out.
