Let the test of a killed guard wait until both workers are known

Cause: an entry is ready once it knows one worker. The test's six tasks then ran four and two, one after the other, and the six runs at a time that it waits for never came. Change: the test first waits until a wide job of the entry runs on both workers. Nothing is checked less.

--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -35,6 +35,16 @@
   std::string NextId() { return cluster_.NextId(); }
   Address At(int host, int port) const { return cluster_.At(host, port); }
 
+  // Whether a wide job of the entry runs on both workers. An entry is ready
+  // once it knows one of them.
+  bool UsesBothWorkers(int entry) {
+    const int starts[] = {cluster_.worker(0).starts(),
+                          cluster_.worker(1).starts()};
+    EXPECT_EQ(HandIn(entry, NextId(), 8, 50), 200);
+    return cluster_.worker(0).starts() > starts[0] &&
+           cluster_.worker(1).starts() > starts[1];
+  }
+
   HeldCluster cluster_{kGuards, kEntries};
   RunLedger& ledger_ = cluster_.ledger();
   FakeKv& kv_ = cluster_.kv();
@@ -49,6 +59,7 @@
 }
 
 TEST_F(HeldPathTest, AKilledGuardsTasksAreRepeatedOnceTheyHaveEnded) {
+  ASSERT_TRUE(WaitUntil([&] { return UsesBothWorkers(0); }));
   int status = -1;
   std::thread caller([&] { status = HandIn(0, NextId(), 6, 900); });
   EXPECT_TRUE(WaitUntil([&] { return ledger_.running() == 6; }));
