--- a/tests/held_property_test.cc
+++ b/tests/held_property_test.cc
@@ -1027,8 +1027,9 @@
       rc::gen::scale(2, rc::gen::container<std::vector<Fault>>(fault));
   return rc::gen::map(
       rc::gen::pair(all, Within(0, 2 * (kAllTargets + 3))),
-      [](std::pair<std::vector<Fault>, int> drawn) {
-        auto& [faults, focus] = drawn;
+      [](const std::pair<std::vector<Fault>, int>& drawn) {
+        std::vector<Fault> faults = drawn.first;
+        const int focus = drawn.second;
         for (size_t i = 0; i < faults.size(); ++i) {
           if (focus < kAllTargets + 3 && i % 3 != 0) faults[i].target = focus;
         }
