Send starts and leases to no later incarnation of the worker

Cause: a call names its worker by id only, and a worker may start again under its id, with a clock of its own. A start that is sent before the guard knows of that, over a new connection, is accepted by the new incarnation: the deadline means nothing on its clock, and the fencing token is the first it sees, which a guard that starts again need not exceed if the wall clock was set back. It may be carried out at any later time, after the entry has released the run by time or because a new guard is settled. A deadline of a poll gives a lease likewise.

Change: a call with a deadline is sent only over a connection that was open when the incarnation it names still answered a poll. Such a connection leads to that incarnation or to nobody. A poll over another connection asks for no lease.

--- a/include/quetzalspindle/http_exchange.h
+++ b/include/quetzalspindle/http_exchange.h
@@ -15,6 +15,9 @@
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
   Millis timeout{1000};
+  // The request is sent only over a connection that is known to lead to the
+  // process that it is meant for. See EventHttpClient::ConfirmConnections.
+  bool needs_confirmed_connection = false;
 };
 
 // Why a request got no response.
@@ -22,6 +25,8 @@
   kNone,         // A complete response was received.
   kUnreachable,  // No connection could be used; nothing was sent.
   kNoAnswer,     // Sent at least in part, but no complete response arrived.
+  kNotSent,      // No confirmed connection was there in time, so that nothing
+                 // was sent.
 };
 
 // The result of a request. `status` and `body` hold the response and are valid
--- a/include/quetzalspindle/worker_protocol.h
+++ b/include/quetzalspindle/worker_protocol.h
@@ -80,6 +80,8 @@
   kUnreachable,       // The connection was refused; the call was not sent.
                       // Proves nothing about the worker's runs.
   kNoAnswer,          // The call may have taken effect, or may do so later.
+  kNotSent,           // No connection leads to the named incarnation for
+                      // certain; the call was not sent.
 };
 std::string_view WorkerVerdictName(WorkerVerdict verdict);
 
--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -47,7 +47,11 @@
                                                 &log_, Clock::now());
   worker_client_ = std::make_unique<WorkerClient>(
       &kernel_->io, kernel_->settings.worker, &kernel_->deployment->workers(),
-      [this](const WorkerAnswer& answer) { OnAnswer(answer); });
+      [this](const WorkerAnswer& answer) { OnAnswer(answer); },
+      [this] {
+        supervisor_->OnStartsAwaitPoll();
+        Pump();
+      });
   auto node = Node::Make(
       kernel_, Role::kGuard, LinkPolicy::kNone, this, [] {}, [] {});
   if (!node) return node.error();
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -57,6 +57,7 @@
       return Reason::kBackendRejected;
     case WorkerVerdict::kAccepted:
     case WorkerVerdict::kUnreachable:
+    case WorkerVerdict::kNotSent:
     case WorkerVerdict::kNoAnswer:
       break;
   }
@@ -78,9 +79,10 @@
 }
 
 std::string_view WorkerVerdictName(WorkerVerdict verdict) {
-  static constexpr std::array<std::string_view, 10> kNames = {
-      "accepted",  "fenced",     "stale_attempt", "too_late",    "no_room",
-      "unhealthy", "other_life", "rejected",      "unreachable", "no_answer"};
+  static constexpr std::array<std::string_view, 11> kNames = {
+      "accepted",    "fenced",    "stale_attempt", "too_late",
+      "no_room",     "unhealthy", "other_life",    "rejected",
+      "unreachable", "no_answer", "not_sent"};
   return kNames.at(static_cast<size_t>(verdict));
 }
 
@@ -495,6 +497,7 @@
       if (run.start_calls < kMaxStartCalls) CallStart(&run, now);
       return;
     case WorkerVerdict::kUnreachable:
+    case WorkerVerdict::kNotSent:
       if (run.may_have_started) return;
       break;
     default:
@@ -1134,6 +1137,8 @@
   return call;
 }
 
+void RunSupervisor::OnStartsAwaitPoll() { must_poll_now_ = true; }
+
 bool RunSupervisor::NeedsImmediatePoll(Instant now) const {
   if (immediate_poll_in_flight_ || runs_.size() == queue_.size()) return false;
   if (must_poll_now_) return true;
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -144,6 +144,8 @@
   void OnStopReply(const SendStop& stop, const WorkerReply& reply, Instant now);
   void OnPollReply(const SendPoll& hold, const PollReply& reply, Instant sent,
                    Instant now);
+  // Start calls are sent only after the worker has answered a further poll.
+  void OnStartsAwaitPoll();
 
   // Events of the homes.
   void OnSessionUp(uint64_t session, Incarnation home, Instant now);
--- a/src/http/event_http_client.h
+++ b/src/http/event_http_client.h
@@ -30,8 +30,21 @@
 
   // Queues the request. `done` is called during this call or later, but not
   // after Close. The timeout of the request starts when a connection takes it
-  // from the queue.
+  // from the queue. A request that needs a confirmed connection fails with
+  // kNotSent if it gets none within its timeout.
   void Exchange(HttpExchange exchange, Callback done);
+  // The process that serves the address now was still there at `time`, so that
+  // a connection established by then leads to it or to nobody. Connections are
+  // not confirmed otherwise: a later one may lead to a process that was started
+  // since at the same address.
+  void ConfirmConnections(Instant time);
+  // Another process serves the address than that for which the waiting requests
+  // need a confirmed connection. Fails them with kNotSent.
+  void FailUnconfirmed();
+  bool HasConfirmedConnection() const;
+  // Sets what to do once a connection was opened for requests that need a
+  // confirmed one.
+  void OnOpened(std::function<void()> opened) { opened_ = std::move(opened); }
   // Fails the requests whose timeout has expired. Must be called periodically:
   // the interval is the longest delay with which a timeout is detected.
   void CheckTime(Instant now);
@@ -42,13 +55,24 @@
   struct Waiting {
     HttpExchange exchange;
     Callback done;
+    Instant
+        give_up_at;  // Only for a request that needs a confirmed connection.
   };
+  using WaitingList = std::deque<Waiting>;
 
-  HttpClientConnection* FindIdleConnection();
+  HttpClientConnection* FindIdleConnection(bool is_confirmed);
   void StartWaiting();
+  void StartOn(HttpClientConnection* connection, Waiting next);
+  // Opens connections for the waiting requests that need a confirmed one.
+  void OpenForWaiting();
+  // Fails the waiting requests that need a confirmed connection and are given
+  // up by `now`.
+  void FailWaiting(Instant now);
 
   std::vector<std::shared_ptr<HttpClientConnection>> connections_;
-  std::deque<Waiting> waiting_;
+  WaitingList waiting_;
+  Instant confirmed_until_ = Instant::min();
+  std::function<void()> opened_;
   bool is_closed_ = false;
 };
 
--- a/src/http/http_client_connection.cc
+++ b/src/http/http_client_connection.cc
@@ -48,6 +48,14 @@
   Send();
 }
 
+void HttpClientConnection::Open(Millis timeout, Instant now,
+                                std::function<void(HttpFault)> done) {
+  assert(!is_busy() && !is_open());
+  opened_ = std::move(done);
+  finish_by_ = now + timeout;
+  Connect();
+}
+
 void HttpClientConnection::Connect() {
   phase_ = Phase::kConnecting;
   connect_by_ = Clock::now() + kConnectTimeout;
@@ -67,7 +75,9 @@
         std::error_code ignored;
         socket->set_option(tcp::no_delay(true), ignored);
         socket->non_blocking(true, ignored);
+        self->opened_at_ = Clock::now();
         self->Read();
+        if (self->opened_) return self->Finish(HttpFault::kNone);
         self->Send();
       });
 }
@@ -85,6 +95,9 @@
     // request may be sent on a new one.
     if (is_reused_) {
       Drop();
+      if (exchange_.needs_confirmed_connection) {
+        return Finish(HttpFault::kNotSent);
+      }
       return Connect();
     }
     return OnConnectionError(error);
@@ -144,6 +157,10 @@
 }
 
 void HttpClientConnection::Finish(HttpFault fault) {
+  if (const auto opened = std::exchange(opened_, nullptr)) {
+    phase_ = Phase::kIdle;
+    return opened(fault);
+  }
   HttpOutcome outcome;
   outcome.fault = fault;
   if (fault == HttpFault::kNone) {
@@ -178,6 +195,7 @@
 
 void HttpClientConnection::Close() {
   done_ = nullptr;
+  opened_ = nullptr;
   Drop();
 }
 
--- a/src/http/http_client_connection.h
+++ b/src/http/http_client_connection.h
@@ -27,10 +27,17 @@
 
   bool is_busy() const { return phase_ != Phase::kIdle; }
   bool is_open() const { return socket_ != nullptr; }
+  // Whether the present connection was established no later than `time`.
+  bool WasOpenAt(Instant time) const {
+    return is_open() && phase_ != Phase::kConnecting && opened_at_ <= time;
+  }
 
-  // Starts an exchange. The connection must not be busy. `done` is called once,
-  // but not after Close.
+  // Starts an exchange. The connection must not be busy, and must be open if
+  // the exchange needs a confirmed one. `done` is called once, but not after
+  // Close.
   void Start(HttpExchange exchange, Instant now, Callback done);
+  // Connects without an exchange. `done` gets kNone or what went wrong.
+  void Open(Millis timeout, Instant now, std::function<void(HttpFault)> done);
   // Fails the exchange if its timeout has expired.
   void CheckTime(Instant now);
   void Close();
@@ -58,12 +65,14 @@
   // Each asynchronous callback holds the socket it was started on as well, and
   // does nothing if that is no longer this one.
   std::shared_ptr<Socket> socket_;
-  bool is_reused_ = false;  // The socket has served an earlier exchange.
+  bool is_reused_ = false;  // The socket was open before this exchange.
+  Instant opened_at_;       // When the socket was found to be connected.
   std::string output_;
   HttpExchange exchange_;
   Instant connect_by_;
   Instant finish_by_;
   Callback done_;
+  std::function<void(HttpFault)> opened_;  // Set during Open.
   std::optional<Parser> parser_;
   HttpInput input_;
 };
