Echo only reports that came before all unread events

Cause: an entry echoed the newest report. After a pause shorter than 500 ms, or with reports handled before its callers' sockets, the echo covered a time in which a caller may have left unnoticed. Where the stop was not carried out either, the run lived until that echo + 1200 ms, longer than the 1300 ms after which the caller sends its job elsewhere.

Change: the scheduler echoes the newest report that had arrived at the timer event before the newest one; events that were ready then are handled. A stop echoes what could be echoed when it was decided on, and a guard gets orders once one of its reports can be echoed (two timer events). So the run of a caller that left at T is over by T + 1200 ms and the error of the clocks, however long the entry stood still. The pause of 500 ms now only holds back starts.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -78,7 +78,7 @@
 
 void JobScheduler::OnJob(uint64_t caller, HeldJob job, Instant received,
                          Instant now) {
-  received = std::min(received, HandledUntil(now));
+  if (IsAfterPause(now)) received = std::min(received, HandledUntil(now));
   const auto same = job_by_id_.find(job.id);
   if (same != job_by_id_.end()) {
     // The caller of a held job lost its connection and sent the job again.
@@ -348,18 +348,17 @@
           step.required_label, step.preferred_rack, task.avoid};
 }
 
-bool JobScheduler::IsTimerLate(Instant now) const {
-  return last_timer_at_ && now - *last_timer_at_ > options_.longest_pause;
+Instant JobScheduler::HandledUntil(Instant now) const {
+  return handled_until_.value_or(now);
 }
 
-Instant JobScheduler::HandledUntil(Instant now) const {
-  if (pause_began_at_) return *pause_began_at_;
-  return IsTimerLate(now) ? *last_timer_at_ : now;
+bool JobScheduler::IsAfterPause(Instant now) const {
+  return now - HandledUntil(now) > options_.longest_pause;
 }
 
 void JobScheduler::Dispatch(Instant now) {
   is_dispatch_due_ = false;
-  if (HandledUntil(now) < now) return;
+  if (IsAfterPause(now)) return;
   int failed_placements = 0;
   for (auto item = waiting_.begin();
        item != waiting_.end() && failed_placements < kMaxFailedPlacements;) {
@@ -498,7 +497,13 @@
   Run& run = runs_.at(number);
   if (run.is_stopped || run.is_orphan) return;
   run.is_stopped = true;
-  OutgoingTo(run.guard)->stops.push_back(number);
+  RunOrders* orders = OutgoingTo(run.guard);
+  // The guard counts the time by which the run must have ended from the report
+  // that the stop echoes. That is not one after the caller left.
+  if (orders->stops.empty()) {
+    orders->echo = workers_.Find(run.guard)->echo_stamp;
+  }
+  orders->stops.push_back(number);
 }
 
 void JobScheduler::ReleaseRun(uint64_t number, std::string_view evidence,
@@ -607,7 +612,8 @@
 void JobScheduler::OnGuardUp(Address address, Incarnation guard, Instant now) {
   // The end of the earlier connection may not have been reported.
   OnGuardDown(guard, now);
-  workers_.OnGuardConnected(address, guard, now);
+  WorkerRecord* record = workers_.OnGuardConnected(address, guard, now);
+  record->awaits_echo = last_timer_at_.has_value();
   log_->Record("guard_up", {{"guard", address.ToString()}});
 }
 
@@ -680,6 +686,7 @@
   WorkerRecord* record = workers_.Find(guard);
   if (record == nullptr || !record->is_connected) return;
   workers_.OnReport(record, report, now);
+  if (!last_timer_at_) record->echo_stamp = record->timer_stamp = report.stamp;
   for (const RunEnd& end : report.ends) OnRunEnd(end.number, end, now);
   SettleOrphans(*record, report.earlier_runs, now);
   std::vector<uint64_t> former_runs;
@@ -701,15 +708,18 @@
 // Timers and actions.
 
 void JobScheduler::OnTimer(Instant now) {
-  if (IsTimerLate(now)) {
-    pause_began_at_ = HandledUntil(now);
+  if (last_timer_at_ && now - *last_timer_at_ > options_.longest_pause) {
     log_->Record("events_delayed",
-                 {{"pause_ms", Text(Elapsed(*pause_began_at_, now))},
+                 {{"pause_ms", Text(Elapsed(*last_timer_at_, now))},
                   {"jobs", Text(jobs_.size())}});
-  } else {
-    pause_began_at_.reset();
   }
+  handled_until_ = last_timer_at_.value_or(now);
   last_timer_at_ = now;
+  for (auto& [guard, record] : workers_.records()) {
+    record.echo_stamp = record.timer_stamp;
+    if (record.has_report) record.timer_stamp = record.report.stamp;
+    if (record.echo_stamp != 0) record.awaits_echo = false;
+  }
   ExpireJobs(now);
   ExpireRuns(now);
   for (auto& [guard, record] : workers_.records()) {
@@ -763,13 +773,19 @@
       item = outgoing_.erase(item);
       continue;
     }
-    const bool has_news = !orders.orders.empty() || !orders.stops.empty();
+    const bool has_stops = !orders.stops.empty();
+    const bool has_news = has_stops || !orders.orders.empty();
+    if (!has_stops) orders.echo = record->echo_stamp;
+    // The guard takes an echo of zero for an old one.
+    if (orders.echo == 0) {
+      ++item;
+      continue;
+    }
     if (!has_news && now - record->last_echo_at < options_.echo_interval) {
       ++item;
       continue;
     }
     record->last_echo_at = now;
-    orders.echo = record->report.stamp;
     orders.waiting_work = waiting;
     actions_.emplace_back(SendOrders{guard, std::move(orders)});
     item = outgoing_.erase(item);
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -36,9 +36,8 @@
   // A job that has not started is given up once it would end later than this
   // multiple of its objective: the answer would be of no use to the caller.
   int useful_objectives = 3;
-  // If the last timer event is older than this, the process could not handle
-  // its events, and may not know yet which callers have left. Less than the
-  // time after which a caller that lost its answer submits the job again.
+  // If events may be unhandled for longer than this, nothing is started: many
+  // callers may have left meanwhile, and guards would refuse the orders.
   Millis longest_pause{500};
   // Minimum time between checks of job deadlines while reports arrive.
   // Deadlines are in whole milliseconds, and runs take tens of milliseconds.
@@ -201,11 +200,12 @@
   Instant StartByOf(const Job& job, const Task& task) const;
   PlacementNeed NeedOf(const Job& job, const Task& task) const;
 
-  // Whether the last timer event is older than `longest_pause`.
-  bool IsTimerLate(Instant now) const;
-  // Returns the time before which all events have been handled: `now`, or the
-  // beginning of a pause of this process that is not made up for yet.
+  // Returns the time before which all events have been handled: that of the
+  // timer event before the newest, as an event that was ready at one timer
+  // event may be handled after it, but is handled before the next.
   Instant HandledUntil(Instant now) const;
+  // Whether events may be unhandled for longer than `longest_pause`.
+  bool IsAfterPause(Instant now) const;
   // Sends waiting tasks to workers, until several of them found none. Sends
   // none while events of a pause are unhandled.
   void Dispatch(Instant now);
@@ -256,9 +256,8 @@
   bool wants_more_workers_ = false;
   bool is_dispatch_due_ = false;  // Reports arrived since the last dispatch.
   std::optional<Instant> last_timer_at_;
-  // Set from the first timer event after a pause until the next, as events that
-  // were ready when the pause ended may be handled after the first.
-  std::optional<Instant> pause_began_at_;
+  // Time of the timer event before; that of the first until there are two.
+  std::optional<Instant> handled_until_;
   Instant jobs_checked_at_;
   Instant finish_by_;
   std::shared_ptr<const Catalog> catalog_;
--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -52,6 +52,8 @@
   record.is_connected = true;
   ++record.connection;
   record.has_report = false;
+  record.timer_stamp = 0;
+  record.echo_stamp = 0;
   record.last_report_at = now;
   record.in_flight.clear();
   record.in_flight_need = {};
@@ -142,7 +144,8 @@
 
 bool WorkerTable::IsUsable(const WorkerRecord& record,
                            const PlacementNeed& need, Instant now) const {
-  return IsFresh(record, now) && now >= record.paused_until &&
+  return IsFresh(record, now) && !record.awaits_echo &&
+         now >= record.paused_until &&
          record.report.state == ServingState::kServing &&
          CanRun(record.report, need);
 }
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -49,6 +49,12 @@
   Instant last_report_at;  // Arrival of the last report, or of the connection.
   Instant last_echo_at;    // When a report was last echoed to the guard.
   RunReport report;
+  // Stamps of the newest reports that had arrived at the newest timer event and
+  // at the one before; 0 without one. Only the second may be echoed.
+  uint64_t timer_stamp = 0;
+  uint64_t echo_stamp = 0;
+  // No report can be echoed yet, so that the guard would refuse orders.
+  bool awaits_echo = false;
   // Needs and work of the orders that the last report does not cover yet, by
   // run number.
   std::map<uint64_t, std::pair<Resources, uint64_t>> in_flight;
