Let another run of a task wait for the end of the first

Cause: a guard refused only an order of the same task and attempt. A caller that sent its job again through another entry could bring the next attempt to a guard that was still stopping the first run: it was started beside it. The same attempt was refused as stale at once, upon which the entry tried the next one elsewhere, although the guard knew that the task was still running.

Change: an order of a task of which a run is open waits at the guard until the end of that run is certain. It takes no room in the queue and no capacity, and is queued then; with the attempt of the earlier run it is refused as stale then. A full queue does not turn it away.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -328,7 +328,13 @@
   const RunKey key{home->home, order.number};
   if (order.number <= home->seen_order || runs_.contains(key)) return;
   home->seen_order = order.number;
+  const bool must_wait = HasRunOf(order.task);
   Reason refusal = RefusalFor(order, now);
+  // An order that is refused is sent elsewhere, where it would start while the
+  // present run goes on.
+  if (must_wait && refusal == Reason::kExecutorQueueFull) {
+    refusal = Reason::kNone;
+  }
   if (refusal == Reason::kNone && !IsHomeLeaseValid(*home, now)) {
     refusal = Reason::kHomeSilent;
   }
@@ -336,10 +342,6 @@
       CountRunsOfStep(home->home, order.step_tag) >= order.max_per_worker) {
     refusal = Reason::kConstraintUnmet;
   }
-  if (refusal == Reason::kNone &&
-      run_by_task_.contains({order.task, order.attempt})) {
-    refusal = Reason::kStaleAttempt;
-  }
   if (refusal != Reason::kNone) {
     home->ends.push_back(
         {order.number, RunOutcome::kNotStarted, refusal, Millis(0)});
@@ -356,18 +358,51 @@
   run.received_at = now;
   run.start_by = now + order.slack;
   run.useful_by = now + order.remaining;
+  run.is_stale = run_by_task_.contains({order.task, order.attempt});
   run.order = std::move(order);
-  run_by_task_[{run.order.task, run.order.attempt}] = key;
+  Run* accepted = &runs_.emplace(key, std::move(run)).first->second;
+  if (!must_wait) {
+    Enqueue(accepted);
+    return;
+  }
+  waiting_.push_back(key);
+  log_->Record("order_waits", {{"task", accepted->order.task},
+                               {"attempt", Text(accepted->order.attempt)},
+                               {"session", Text(session)},
+                               {"reason", "earlier_run"}});
+}
+
+bool RunSupervisor::HasRunOf(const std::string& task) const {
+  const auto first = run_by_task_.lower_bound({task, 0});
+  return first != run_by_task_.end() && first->first.first == task;
+}
+
+void RunSupervisor::Enqueue(Run* run) {
+  run_by_task_[{run->order.task, run->order.attempt}] = run->key;
   const auto place =
-      std::upper_bound(queue_.begin(), queue_.end(), run.start_by,
+      std::upper_bound(queue_.begin(), queue_.end(), run->start_by,
                        [this](Instant start_by, const RunKey& other) {
                          return start_by < runs_.at(other).start_by;
                        });
-  queue_.insert(place, key);
-  runs_.emplace(key, std::move(run));
+  queue_.insert(place, run->key);
   MarkLoadChanged();
 }
 
+void RunSupervisor::QueueWaiting() {
+  const std::vector<RunKey> waiting = waiting_;
+  for (const RunKey& key : waiting) {
+    Run& run = runs_.at(key);
+    if (HasRunOf(run.order.task)) continue;
+    if (run.is_stale) {
+      EndRun(key, RunOutcome::kNotStarted, Reason::kStaleAttempt, Millis(0),
+             EndEvidence::kNotSent);
+      continue;
+    }
+    std::erase(waiting_, key);
+    Enqueue(&run);
+  }
+}
+
 Reason RunSupervisor::RefusalFor(const RunOrder& order, Instant now) const {
   const Reason refusal = RefusalOf(state(now));
   if (refusal != Reason::kNone) return refusal;
@@ -423,6 +458,7 @@
 // Starting.
 
 void RunSupervisor::StartReady(Instant now) {
+  QueueWaiting();
   if (!worker_ || now < capacity_refused_until_) return;
   if (state(now) != ServingState::kServing) return;
   size_t passed_over = 0;
@@ -597,7 +633,8 @@
 }
 
 void RunSupervisor::EndQueuedRuns(Reason reason) {
-  const std::vector<RunKey> queued = queue_;
+  std::vector<RunKey> queued = queue_;
+  queued.insert(queued.end(), waiting_.begin(), waiting_.end());
   for (const RunKey& key : queued) {
     EndRun(key, RunOutcome::kNotStarted, reason, Millis(0),
            EndEvidence::kNotSent);
@@ -615,11 +652,15 @@
   const Run& run = found->second;
   if (run.phase == Phase::kQueued) {
     std::erase(queue_, key);
+    std::erase(waiting_, key);
   } else {
     used_ -= run.order.need;
     is_capacity_freed_ = true;
   }
-  run_by_task_.erase({run.order.task, run.order.attempt});
+  const auto open = run_by_task_.find({run.order.task, run.order.attempt});
+  if (open != run_by_task_.end() && open->second == key) {
+    run_by_task_.erase(open);
+  }
   for (auto& [session, home] : sessions_) {
     if (home.home != key.home) continue;
     home.ends.push_back({key.number, outcome, reason, run_time});
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -199,6 +199,8 @@
     Instant stop_sent_at;   // When the newest stop call was sent.
     uint32_t stop_calls = 0;
     Reason stop_reason = Reason::kNone;
+    // The order names the attempt of a run that it waits for.
+    bool is_stale = false;
     // Set once the home counts on the end of the run: the run has ended by
     // then, through a stop or through the expiry of the worker's lease. A slow
     // clock of the worker may add 2 % of the lease.
@@ -227,6 +229,11 @@
   Resources FreeCapacity() const;
   uint32_t CountRunsOfStep(Incarnation home, uint32_t step_tag) const;
   void StartReady(Instant now);
+  // Whether a run of the task is open that waits for no other.
+  bool HasRunOf(const std::string& task) const;
+  void Enqueue(Run* run);
+  // Queues the orders in `waiting_` whose task has no open run any more.
+  void QueueWaiting();
   void CallStart(Run* run, Instant now);
   void StopRun(Run* run, Reason reason, Instant now);
   void CallStop(Run* run, Instant now);
@@ -330,6 +337,10 @@
   bool is_capacity_freed_ = false;
   std::map<RunKey, Run> runs_;
   std::vector<RunKey> queue_;  // In the order of start_by.
+  // Orders of tasks of which another run may still be executing, in the order
+  // of their arrival. They take no room in the queue.
+  std::vector<RunKey> waiting_;
+  // All runs but those in `waiting_`.
   std::map<TaskAttempt, RunKey> run_by_task_;
   std::map<uint64_t, HomeSession> sessions_;
   // Rises when the worker's service, rack, labels or capacity change.
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -931,5 +931,76 @@
   EXPECT_EQ(supervisor_.state(At(700)), ServingState::kServing);
 }
 
+// Guards against two runs of one task: a caller sent its job again, and the
+// guard is still stopping the run that the former home ordered.
+TEST_F(RunSupervisorTest, AnotherRunOfATaskWaitsForTheCertainEndOfTheFirst) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  supervisor_.OnSessionDown(kSession, At(13));
+  CollectActions(13);
+  ASSERT_EQ(stops_.size(), 1U);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "t1"), MakeOrder(2, "t2")};
+  orders.orders[0].attempt = 2;
+  supervisor_.OnOrders(kOtherSession, orders, At(20));
+  CollectActions(20);
+  // The order that waits holds up no other.
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "t2");
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(60, {}, {{1, "t1", 1, RunEnding::kInterrupted}});
+  ASSERT_EQ(starts_.size(), 3U);
+  EXPECT_EQ(starts_[2].call.task, "t1");
+  EXPECT_EQ(starts_[2].call.attempt, 2U);
+}
+
+// As above, with the attempt of the run that is being stopped: an entry that is
+// told of a stale attempt tries the next one elsewhere at once.
+TEST_F(RunSupervisorTest, AStaleAttemptIsRefusedOnlyOnceItsRunHasEnded) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  supervisor_.OnSessionDown(kSession, At(13));
+  CollectActions(13);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "t1")};
+  supervisor_.OnOrders(kOtherSession, orders, At(20));
+  CollectActions(20);
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(60, {}, {{1, "t1", 1, RunEnding::kInterrupted}});
+  EXPECT_EQ(starts_.size(), 1U);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[0].reason, Reason::kStaleAttempt);
+}
+
+// A home withdraws an order that waits for another run of its task. The stop
+// and the end concern the order alone.
+TEST_F(RunSupervisorTest, AWaitingOrderOfTheSameAttemptIsWithdrawnByItself) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  AcceptStart(starts_[0], 11);
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "t1")};
+  supervisor_.OnOrders(kOtherSession, orders, At(20));
+  orders.orders.clear();
+  orders.stops = {1};
+  supervisor_.OnOrders(kOtherSession, orders, At(21));
+  CollectActions(21);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWithdrawn);
+  EXPECT_TRUE(stops_.empty());
+  AnswerPoll(60, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kDone);
+}
+
 }  // namespace
 }  // namespace qs::test
