Carry losses of workers and runs on a worker of their own on the wire

Cause: an entry cannot tell the crash of a worker from a partition or a planned leave.

Change: a report carries WorkerLoss, which says what became of an incarnation of the worker and which tasks ran there. An order can ask for a run that is alone on its worker. New reasons: worker_down for the end of a run whose worker refuses connections, crashes_workers for a job that is given up. Nothing uses them yet. Lists of strings are read by one function.

--- a/include/quetzalspindle/reason.h
+++ b/include/quetzalspindle/reason.h
@@ -70,6 +70,7 @@
   kAttemptsExhausted = 82,
   kRunInterrupted = 83,
   kRunStalled = 84,
+  kCrashesWorkers = 85,
   // Unknown.
   kBackendDisconnected = 100,
   kBackendTimeout = 101,
@@ -86,6 +87,7 @@
   kWorkerLost = 112,
   kGivenUpRunning = 113,
   kEntrySuspended = 114,
+  kWorkerDown = 115,
 };
 
 // The snake_case name used in JSON, logs and metric labels.
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -106,6 +106,8 @@
               "the run was ended before it had a result"},
     ReasonRow{Reason::kRunStalled, "run_stalled", kFailed,
               "the run made too little progress and was ended"},
+    ReasonRow{Reason::kCrashesWorkers, "crashes_workers", kFailed,
+              "two workers crashed while they ran the same task of the job"},
     ReasonRow{Reason::kBackendDisconnected, "backend_disconnected", kUnknown,
               "the backend server closed the connection without an answer"},
     ReasonRow{Reason::kBackendTimeout, "backend_timeout", kUnknown,
@@ -136,6 +138,8 @@
               "a part of the job had run when it was given up"},
     ReasonRow{Reason::kEntrySuspended, "entry_suspended", kUnknown,
               "the entry stood still while it held the job"},
+    ReasonRow{Reason::kWorkerDown, "worker_down", kUnknown,
+              "the worker refuses connections and may have crashed"},
 };
 
 const ReasonRow* FindRow(Reason reason) {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -39,6 +39,14 @@
   return text == nullptr ? std::string() : text->str();
 }
 
+std::vector<std::string> Texts(
+    const flatbuffers::Vector<Offset<flatbuffers::String>>* texts) {
+  std::vector<std::string> out;
+  if (texts == nullptr) return out;
+  for (const flatbuffers::String* text : *texts) out.push_back(text->str());
+  return out;
+}
+
 std::string Text(const flatbuffers::Vector<uint8_t>* bytes) {
   if (bytes == nullptr) return {};
   return {reinterpret_cast<const char*>(bytes->data()), bytes->size()};
@@ -219,7 +227,7 @@
       orders.push_back(fb::CreateRunOrder(
           *b, order.number, task, order.attempt, order.step_tag,
           order.max_per_worker, service, payload, &need, ToWire(order.estimate),
-          ToWire(order.slack), ToWire(order.remaining)));
+          ToWire(order.slack), ToWire(order.remaining), order.must_run_alone));
     }
     const auto order_vector = b->CreateVector(orders);
     const auto stop_vector = b->CreateVector(m.stops);
@@ -248,6 +256,16 @@
       labels = b->CreateVectorOfStrings(m.labels);
     }
     const auto end_vector = b->CreateVectorOfStructs(ends);
+    Offset<flatbuffers::Vector<Offset<fb::WorkerLoss>>> losses;
+    if (!m.worker_losses.empty()) {
+      std::vector<Offset<fb::WorkerLoss>> rows;
+      for (const WorkerLoss& loss : m.worker_losses) {
+        const auto tasks = b->CreateVectorOfStrings(loss.tasks);
+        rows.push_back(
+            fb::CreateWorkerLoss(*b, loss.started_at, loss.has_crashed, tasks));
+      }
+      losses = b->CreateVector(rows);
+    }
     const auto waiting =
         b->CreateVector(m.waiting_work.data(), m.waiting_work.size());
     const fb::Resources capacity = ToFb(m.capacity);
@@ -258,7 +276,7 @@
                 static_cast<uint8_t>(m.state), service, rack, labels,
                 m.has_offer ? &capacity : nullptr, &used, m.queued_work,
                 waiting, m.slowness, end_vector, zone, m.has_offer,
-                m.telling_entries, m.linked_entries)
+                m.telling_entries, m.linked_entries, losses)
                 .Union()};
   }
 };
@@ -435,11 +453,7 @@
     out.role = Enum<Role>(m.role(), kMaxRole);
     out.zone = Text(m.zone());
     out.worker_kind = Text(m.worker_kind());
-    if (m.services() != nullptr) {
-      for (const auto* service : *m.services()) {
-        out.services.push_back(service->str());
-      }
-    }
+    out.services = Texts(m.services());
     out.load = ReadLoad(m.load());
     out.config_version = m.config_version();
     return out;
@@ -495,7 +509,7 @@
            order.step_tag(), order.max_per_worker(), Text(order.service()),
            Text(order.payload()), ReadResources(order.need()),
            Millis(order.estimate_ms()), Millis(order.slack_ms()),
-           Millis(order.remaining_ms())});
+           Millis(order.remaining_ms()), order.must_run_alone()});
     });
     if (m.stops() != nullptr) {
       out.stops.assign(m.stops()->begin(), m.stops()->end());
@@ -516,9 +530,7 @@
     out.service = Text(m.service());
     out.rack = Text(m.rack());
     out.zone = Text(m.zone());
-    if (m.labels() != nullptr) {
-      for (const auto* label : *m.labels()) out.labels.push_back(label->str());
-    }
+    out.labels = Texts(m.labels());
     out.capacity = ReadResources(m.capacity());
     out.used = ReadResources(m.used());
     out.queued_work = m.queued_work();
@@ -529,6 +541,10 @@
           {end.number(), Enum<RunOutcome>(end.outcome(), kMaxRunOutcome),
            ReasonFromWire(end.reason()), Millis(end.run_time_ms())});
     });
+    ForEach(m.worker_losses(), [&](const fb::WorkerLoss& loss) {
+      out.worker_losses.push_back(
+          {loss.started_at(), loss.has_crashed(), Texts(loss.tasks())});
+    });
     return out;
   }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -191,6 +191,8 @@
   Millis slack{0};
   // Time left until the run is of no use any more.
   Millis remaining{0};
+  // Nothing else runs on the worker at the same time.
+  bool must_run_alone = false;
 };
 
 struct RunOrders {
@@ -217,6 +219,16 @@
   Millis run_time{0};
 };
 
+// From a guard to all entries: what became of an incarnation of its worker that
+// was lost while it ran tasks.
+struct WorkerLoss {
+  uint64_t started_at = 0;  // Start of the incarnation, in ms since 1970.
+  // Whether it is certain that the incarnation crashed. Otherwise it went on,
+  // or it left as announced.
+  bool has_crashed = false;
+  std::vector<std::string> tasks;  // Tasks that ran at the time, of all homes.
+};
+
 // From a guard to an entry: the state of the guard's worker, and the ends of
 // the entry's runs.
 struct RunReport {
@@ -250,6 +262,8 @@
   // Moving average of run times in percent of their estimates.
   uint32_t slowness = 100;
   std::vector<RunEnd> ends;
+  // Losses that this entry has not been told of yet.
+  std::vector<WorkerLoss> worker_losses;
 };
 
 using Message = std::variant<Hello, MintRequest, MintReply, SubmitRequest,
