Follow a worker's capacity that changes while runs go on

Cause: an announcement with another capacity was only noted. Orders that no longer fit at all stayed queued until they were of no use, orders that fit after growth waited for the next event, and a start without an answer was sent again although the runs exceeded the new capacity.

Change: when the capacity changes, the guard gives back the queued orders that do not fit any more (constraint_unmet), starts those that fit, and tells entries of it. A start is repeated only while all runs fit.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -118,6 +118,7 @@
   // A delayed heartbeat carries an older state of the worker.
   if (announcement.sequence <= worker_->sequence) return;
   const bool began_draining = announcement.is_draining && !worker_->is_draining;
+  const bool has_other_capacity = announcement.capacity != worker_->capacity;
   if (!HasSameOffer(announcement, *worker_)) ++offer_version_;
   // A withdrawal without a start time was a late one of an earlier incarnation.
   if (!is_withdrawal_certain_) is_withdrawn_ = false;
@@ -129,9 +130,27 @@
                                      {"runs", Text(runs_.size())}});
     EndQueuedRuns(Reason::kExecutorDraining);
   }
+  if (has_other_capacity) OnCapacityChanged(now);
   MarkLoadChanged();
 }
 
+void RunSupervisor::OnCapacityChanged(Instant now) {
+  log_->Record("capacity_changed",
+               {{"worker", worker_->incarnation.id},
+                {"cpu_millis", std::to_string(worker_->capacity.cpu_millis)},
+                {"memory_mb", std::to_string(worker_->capacity.memory_mb)},
+                {"used_cpu_millis", std::to_string(used_.cpu_millis)},
+                {"queued", Text(queue_.size())}});
+  const std::vector<RunKey> queued = queue_;
+  for (const RunKey& key : queued) {
+    if (runs_.at(key).order.need.FitsIn(worker_->capacity)) continue;
+    EndRun(key, RunOutcome::kNotStarted, Reason::kConstraintUnmet, Millis(0),
+           EndEvidence::kNotSent);
+  }
+  is_capacity_freed_ = true;
+  StartReady(now);
+}
+
 void RunSupervisor::BeginIncarnation(const WorkerAnnouncement& announcement,
                                      Instant now) {
   EndIncarnation(announcement.incarnation.id, now);
@@ -492,7 +511,10 @@
     case WorkerVerdict::kNoAnswer:
       run.may_have_started = true;
       if (run.phase != Phase::kStarting) return;
-      if (run.start_calls < kMaxStartCalls) CallStart(&run, now);
+      // The capacity may have shrunk since the first call.
+      if (run.start_calls < kMaxStartCalls && used_.FitsIn(worker_->capacity)) {
+        CallStart(&run, now);
+      }
       return;
     case WorkerVerdict::kUnreachable:
       if (run.may_have_started) return;
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -224,6 +224,9 @@
   void AcceptOrder(uint64_t session, HomeSession* home, RunOrder order,
                    Instant now);
   Reason RefusalFor(const RunOrder& order, Instant now) const;
+  // Gives back the queued runs that do not fit any more, and starts those that
+  // fit now.
+  void OnCapacityChanged(Instant now);
   Resources FreeCapacity() const;
   uint32_t CountRunsOfStep(Incarnation home, uint32_t step_tag) const;
   void StartReady(Instant now);
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -51,6 +51,14 @@
     CollectActions(ms);
   }
 
+  // Orders a run and has the worker accept its start.
+  void StartRun(int64_t ms, const RunOrder& order) {
+    const size_t before = starts_.size();
+    PlaceOrders(ms, {order});
+    ASSERT_EQ(starts_.size(), before + 1);
+    AcceptStart(starts_.back(), ms);
+  }
+
   // Echoes the newest report of the session.
   void EchoReport(uint64_t session, int64_t ms,
                   WorkByUrgency waiting_work = {}) {
@@ -931,5 +939,74 @@
   EXPECT_EQ(supervisor_.state(At(700)), ServingState::kServing);
 }
 
+// Capacity that changes.
+
+// Guards against orders that wait for capacity that the worker no longer has.
+TEST_F(RunSupervisorTest, QueuedOrdersThatNoLongerFitAreGivenBackAtOnce) {
+  StartRun(10, MakeOrder(1, "t1", 32'000));
+  PlaceOrders(12, {MakeOrder(2, "small", 4000), MakeOrder(3, "big", 8000)});
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 2, 4000), At(20));
+  CollectActions(20);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].number, 3U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[0].reason, Reason::kConstraintUnmet);
+}
+
+// Guards against starts beyond a worker's capacity.
+TEST_F(RunSupervisorTest, NoStartExceedsCapacityThatHasShrunk) {
+  StartRun(10, MakeOrder(1, "t1", 16'000));
+  PlaceOrders(12, {MakeOrder(2, "t2", 16'000)});
+  ASSERT_EQ(starts_.size(), 2U);
+  PlaceOrders(14, {MakeOrder(3, "t3", 8000)});
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 2, 20'000), At(20));
+  CollectActions(20);
+  // The start of t2 is not sent again, since it may exceed the capacity now.
+  supervisor_.OnStartReply(starts_[1], {WorkerVerdict::kNoAnswer, std::nullopt},
+                           At(30));
+  CollectActions(30);
+  EXPECT_EQ(starts_.size(), 2U);
+  // t1 still occupies its capacity while it is being stopped.
+  PlaceOrders(40, {}, {1});
+  supervisor_.OnStopReply(stops_.back(),
+                          {WorkerVerdict::kAccepted, std::nullopt}, At(42));
+  CollectActions(42);
+  EXPECT_EQ(starts_.size(), 2U);
+  AnswerPoll(50, {{"t2", 1, 1}}, {{1, "t1", 1, RunEnding::kInterrupted}});
+  EXPECT_EQ(starts_.size(), 2U);
+  AnswerPoll(60, {}, {{2, "t2", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 3U);
+  EXPECT_EQ(starts_[2].call.task, "t3");
+}
+
+// Guards against orders that wait though there is capacity.
+TEST_F(RunSupervisorTest, WhatWaitsStartsAtOnceWhenCapacityGrows) {
+  StartRun(10, MakeOrder(1, "t1", 32'000));
+  PlaceOrders(12, {MakeOrder(2, "t2")});
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 2, 40'000), At(20));
+  CollectActions(20);
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "t2");
+  EXPECT_EQ(reports_[kSession].capacity.cpu_millis, 40'000);
+}
+
+TEST_F(RunSupervisorTest, AWorkerWithoutCapacityGetsNothing) {
+  StartRun(10, MakeOrder(1, "t1", 32'000));
+  PlaceOrders(12, {MakeOrder(2, "t2")});
+  WorkerAnnouncement none = MakeAnnouncement(1000, 2, 0);
+  none.capacity = {};
+  supervisor_.OnAnnouncement(none, At(20));
+  CollectActions(20);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kConstraintUnmet);
+  AnswerPoll(30, {}, {{1, "t1", 1, RunEnding::kDone}});
+  PlaceOrders(40, {MakeOrder(3, "t3")});
+  ASSERT_EQ(ends_.size(), 3U);
+  EXPECT_EQ(ends_[2].reason, Reason::kConstraintUnmet);
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 3), At(50));
+  CollectActions(50);
+  StartRun(60, MakeOrder(4, "t4"));
+}
+
 }  // namespace
 }  // namespace qs::test
