Run an order on an otherwise idle worker where it asks for it

Change: a run with must_run_alone starts only when nothing else is on the worker, and nothing else starts until it has ended. It waits behind what is queued already; later orders are refused as executor_queue_full and reports tell of no free capacity until it has ended. One such order is taken at a time.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -377,14 +377,25 @@
   run.useful_by = now + order.remaining;
   run.order = std::move(order);
   run_by_task_[{run.order.task, run.order.attempt}] = key;
+  Enqueue(run);
+  runs_.emplace(key, std::move(run));
+  MarkLoadChanged();
+}
+
+// A run that must be alone goes last. No order is accepted after it, so that
+// none delays it, and none waits until it has ended.
+void RunSupervisor::Enqueue(const Run& run) {
+  if (run.order.must_run_alone) {
+    lone_run_ = run.key;
+    queue_.push_back(run.key);
+    return;
+  }
   const auto place =
       std::upper_bound(queue_.begin(), queue_.end(), run.start_by,
                        [this](Instant start_by, const RunKey& other) {
                          return start_by < runs_.at(other).start_by;
                        });
-  queue_.insert(place, key);
-  runs_.emplace(key, std::move(run));
-  MarkLoadChanged();
+  queue_.insert(place, run.key);
 }
 
 Reason RunSupervisor::RefusalFor(const RunOrder& order, Instant now) const {
@@ -392,7 +403,8 @@
   if (refusal != Reason::kNone) return refusal;
   if (order.service != worker_->service) return Reason::kWrongService;
   if (!order.need.FitsIn(worker_->capacity)) return Reason::kConstraintUnmet;
-  const bool starts_now = queue_.empty() && order.need.FitsIn(FreeCapacity());
+  if (lone_run_) return Reason::kExecutorQueueFull;
+  const bool starts_now = queue_.empty() && HasRoomFor(order);
   if (starts_now) return Reason::kNone;
   // While the breaker is open, an order is accepted only if it can start now,
   // as the probe.
@@ -402,6 +414,13 @@
   return QueuedCpu() >= limit ? Reason::kExecutorQueueFull : Reason::kNone;
 }
 
+bool RunSupervisor::HasRoomFor(const RunOrder& order) const {
+  const bool is_idle = runs_.size() == queue_.size();
+  if (order.must_run_alone && !is_idle) return false;
+  if (lone_run_ && runs_.at(*lone_run_).phase != Phase::kQueued) return false;
+  return order.need.FitsIn(FreeCapacity());
+}
+
 Resources RunSupervisor::FreeCapacity() const {
   Resources room = worker_->capacity;
   room -= used_;
@@ -452,7 +471,7 @@
       ++i;  // CheckHomes ends the run as not started.
       continue;
     }
-    if (!run.order.need.FitsIn(FreeCapacity())) {
+    if (!HasRoomFor(run.order)) {
       // Smaller tasks must not delay a large one past the time by which it must
       // start.
       if (now >= run.start_by) return;
@@ -642,6 +661,7 @@
     is_capacity_freed_ = true;
   }
   run_by_task_.erase({run.order.task, run.order.attempt});
+  if (lone_run_ == key) lone_run_.reset();
   for (auto& [session, home] : sessions_) {
     if (home.home != key.home) continue;
     home.ends.push_back({key.number, outcome, reason, run_time});
@@ -1122,7 +1142,8 @@
     report.labels = worker_->labels;
     report.capacity = worker_->capacity;
   }
-  report.used = used_;
+  // No other run can start until a run that must be alone has ended.
+  report.used = lone_run_ && worker_ ? worker_->capacity : used_;
   report.queued_work = QueuedWork();
   report.linked_entries = static_cast<uint32_t>(sessions_.size());
   for (const auto& [number, other] : sessions_) {
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -223,10 +223,13 @@
 
   void AcceptOrder(uint64_t session, HomeSession* home, RunOrder order,
                    Instant now);
+  void Enqueue(const Run& run);
   Reason RefusalFor(const RunOrder& order, Instant now) const;
   // Gives back the queued runs that do not fit any more, and starts those that
   // fit now.
   void OnCapacityChanged(Instant now);
+  // Whether the order could start now if nothing was queued before it.
+  bool HasRoomFor(const RunOrder& order) const;
   Resources FreeCapacity() const;
   uint32_t CountRunsOfStep(Incarnation home, uint32_t step_tag) const;
   void StartReady(Instant now);
@@ -333,6 +336,8 @@
   bool is_capacity_freed_ = false;
   std::map<RunKey, Run> runs_;
   std::vector<RunKey> queue_;  // In the order of start_by.
+  // The run that must be alone on the worker, queued or started.
+  std::optional<RunKey> lone_run_;
   std::map<TaskAttempt, RunKey> run_by_task_;
   std::map<uint64_t, HomeSession> sessions_;
   // Rises when the worker's service, rack, labels or capacity change.
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -939,6 +939,97 @@
   EXPECT_EQ(supervisor_.state(At(700)), ServingState::kServing);
 }
 
+// Runs that are alone on the worker.
+
+RunOrder MakeLoneOrder(uint64_t number, const std::string& task) {
+  RunOrder order = MakeOrder(number, task);
+  order.must_run_alone = true;
+  return order;
+}
+
+// Guards against a neighbour that is taken for the cause of a crash.
+TEST_F(RunSupervisorTest, ARunThatMustBeAloneStartsOnlyOnAnIdleWorker) {
+  StartRun(10, MakeOrder(1, "t1"));
+  PlaceOrders(12, {MakeLoneOrder(2, "alone")});
+  EXPECT_EQ(starts_.size(), 1U);
+  // A report tells that nothing else can start.
+  CollectActions(200);
+  EXPECT_EQ(reports_[kSession].used, MakeAnnouncement().capacity);
+  PlaceOrders(202, {MakeOrder(3, "t3")});
+  EXPECT_EQ(starts_.size(), 1U);
+  AnswerPoll(210, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "alone");
+}
+
+TEST_F(RunSupervisorTest, NothingStartsBesideARunThatMustBeAlone) {
+  StartRun(10, MakeLoneOrder(1, "alone"));
+  PlaceOrders(12, {MakeOrder(2, "t2")});
+  EXPECT_EQ(starts_.size(), 1U);
+  CollectActions(200);
+  EXPECT_EQ(reports_[kSession].used, MakeAnnouncement().capacity);
+  // What is being stopped still counts.
+  PlaceOrders(202, {MakeOrder(3, "t3")}, {1});
+  EXPECT_EQ(starts_.size(), 1U);
+  AnswerPoll(210, {}, {{1, "alone", 1, RunEnding::kInterrupted}});
+  EXPECT_EQ(reports_[kSession].used.cpu_millis, 0);
+  PlaceOrders(220, {MakeOrder(4, "t4")});
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "t4");
+}
+
+TEST_F(RunSupervisorTest, OneRunThatMustBeAloneIsTakenAtATime) {
+  StartRun(10, MakeLoneOrder(1, "alone"));
+  PlaceOrders(12, {MakeLoneOrder(2, "other")});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].number, 2U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[0].reason, Reason::kExecutorQueueFull);
+}
+
+// A run that must be alone goes after what waits already, and is not put off by
+// urgent orders that come later.
+TEST_F(RunSupervisorTest, LaterOrdersDoNotPutOffARunThatMustBeAlone) {
+  StartRun(10, MakeOrder(1, "big", 32'000));
+  PlaceOrders(12, {MakeOrder(2, "waiting", 4000, 2000)});
+  PlaceOrders(13, {MakeLoneOrder(3, "alone")});
+  PlaceOrders(14, {MakeOrder(4, "urgent", 4000, 1)});
+  AnswerPoll(30, {}, {{1, "big", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "waiting");
+  AcceptStart(starts_[1], 31);
+  AnswerPoll(60, {}, {{2, "waiting", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 3U);
+  EXPECT_EQ(starts_[2].call.task, "alone");
+}
+
+// An order that waits, as its home was silent for a moment, starts no run
+// beside one that must be alone.
+TEST_F(RunSupervisorTest, AnEarlierOrderWaitsForARunThatMustBeAlone) {
+  StartRun(10, MakeOrder(1, "big", 32'000));
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "waiting")};
+  supervisor_.OnOrders(kOtherSession, orders, At(15));
+  CollectActions(15);
+  for (int64_t ms = 200; ms <= 700; ms += 100) {
+    AnswerPoll(ms, {{"big", 1, static_cast<uint32_t>(ms / 10)}}, {});
+    EchoReport(kSession, ms);
+  }
+  PlaceOrders(702, {MakeLoneOrder(2, "alone")});
+  AnswerPoll(750, {}, {{1, "big", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "alone");
+  EchoReport(kOtherSession, 752);
+  EXPECT_EQ(starts_.size(), 2U);
+  AcceptStart(starts_[1], 753);
+  AnswerPoll(760, {}, {{2, "alone", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 3U);
+  EXPECT_EQ(starts_[2].call.task, "waiting");
+}
+
 // Capacity that changes.
 
 // Guards against orders that wait for capacity that the worker no longer has.
