Tell entries whether a lost worker crashed, and what ran there

Change: the new class LossRecorder remembers the runs that may have been on an incarnation of the worker when its connection was refused or another incarnation became known. It is a crash once another incarnation has answered a poll and the runs have ended here; the loss is refuted if the lost one answers a later poll, drains or withdraws. Runs that end meanwhile are reported as worker_down. A worker that is only silent, was leaving, or reported no start time is no loss: its runs end as worker_lost.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -95,12 +95,16 @@
       last_answer_(now - options.silent_after),
       last_renewal_(now),
       clock_(options.longest_lease),
-      health_(options.health) {}
+      health_(options.health),
+      losses_(options.losses, log) {}
 
 // Events of the worker.
 
 void RunSupervisor::OnAnnouncement(const WorkerAnnouncement& announcement,
                                    Instant now) {
+  if (announcement.is_draining) {
+    losses_.OnLeave(announcement.incarnation, LossEvidence::kDraining, now);
+  }
   if (!worker_ || worker_->incarnation != announcement.incarnation) {
     const bool is_older = worker_ && announcement.incarnation.started_at <
                                          worker_->incarnation.started_at;
@@ -179,6 +183,7 @@
 // on, so they are tracked until their end is certain.
 void RunSupervisor::OnWithdrawn(const WorkerIncarnation& incarnation,
                                 Instant now) {
+  losses_.OnLeave(incarnation, LossEvidence::kWithdrawn, now);
   const bool is_present =
       worker_ && worker_->incarnation.id == incarnation.id &&
       (incarnation.started_at == 0 ||
@@ -213,6 +218,7 @@
 // sent to the current one, until it knows the raised fencing token. Runs with
 // such starts are kept and stopped there.
 void RunSupervisor::EndIncarnation(std::string_view next_id, Instant now) {
+  SuspectLoss(LossEvidence::kOtherIncarnation, now);
   std::vector<RunKey> ended;
   for (auto& [key, run] : runs_) {
     if (run.open_start_calls == 0 || run.worker_id != next_id) {
@@ -221,7 +227,7 @@
     }
     if (run.phase != Phase::kStopping) {
       run.phase = Phase::kStopping;
-      run.stop_reason = Reason::kWorkerLost;
+      run.stop_reason = LostReason();
       run.stop_began_at = now;
     }
     run.may_have_started = true;
@@ -660,6 +666,7 @@
     used_ -= run.order.need;
     is_capacity_freed_ = true;
   }
+  NoteEndOfLostRun(run, evidence);
   run_by_task_.erase({run.order.task, run.order.attempt});
   if (lone_run_ == key) lone_run_.reset();
   for (auto& [session, home] : sessions_) {
@@ -683,12 +690,53 @@
   MarkLoadChanged();
 }
 
+void RunSupervisor::SuspectLoss(LossEvidence evidence, Instant now) {
+  if (!worker_ || !has_answered_ || HasLeaseExpired(now)) return;
+  if (worker_->is_draining || is_withdrawn_) return;
+  std::vector<TaskAttempt> tasks;
+  for (const auto& [key, run] : runs_) {
+    if (run.phase == Phase::kQueued) continue;
+    tasks.emplace_back(run.order.task, run.order.attempt);
+  }
+  losses_.Suspect(worker_->incarnation, tasks, evidence, now);
+}
+
+void RunSupervisor::NoteEndOfLostRun(const Run& run, EndEvidence evidence) {
+  const TaskAttempt task{run.order.task, run.order.attempt};
+  switch (evidence) {
+    case EndEvidence::kNotSent:
+      return;
+    case EndEvidence::kStartRefused:
+    case EndEvidence::kEndListed:
+      losses_.RemoveRun(task);
+      return;
+    case EndEvidence::kNotListed:
+    case EndEvidence::kDeadlinePassed:
+      // What another incarnation does not list may have been on the lost one.
+      if (worker_ && losses_.IsSuspected(worker_->incarnation)) {
+        losses_.RemoveRun(task);
+        return;
+      }
+      break;
+    case EndEvidence::kWorkerGone:
+    case EndEvidence::kLeaseExpired:
+      break;
+  }
+  losses_.OnRunEnded(task);
+}
+
+Reason RunSupervisor::LostReason() const {
+  return worker_ && losses_.IsSuspected(worker_->incarnation)
+             ? Reason::kWorkerDown
+             : Reason::kWorkerLost;
+}
+
 void RunSupervisor::EndLostRun(RunKey key, EndEvidence evidence) {
   const Run& run = runs_.at(key);
   const bool has_started = run.phase == Phase::kRunning ||
                            run.may_have_started || run.start_calls > 0;
   EndRun(key, has_started ? RunOutcome::kLost : RunOutcome::kNotStarted,
-         has_started ? Reason::kWorkerLost : Reason::kBackendAbsent, Millis(0),
+         has_started ? LostReason() : Reason::kBackendAbsent, Millis(0),
          evidence);
 }
 
@@ -754,6 +802,7 @@
   for (const PollReply::Ended& ended : reply.ended) OnEnded(ended, now);
   ReconcileRunning(reply, sent, now);
   if (reply.ended.size() < kMaxEndsPerPoll) EndMissingRuns(reply, sent, now);
+  losses_.OnAnswer(reply.started_at, sent, now);
   StartReady(now);
 }
 
@@ -768,6 +817,7 @@
                   {"runs", Text(runs_.size())}});
   }
   refuses_connections_ = true;
+  SuspectLoss(LossEvidence::kConnectionRefused, now);
   next_long_poll_at_ = now + kPollRetryDelay;
   GiveUpWorker(now);
 }
@@ -831,6 +881,11 @@
       continue;
     }
     Run& run = runs_.at(key->second);
+    // The only start call of the run was carried out by this incarnation, so
+    // the run was not on an earlier one.
+    if (run.start_calls == 1 && !losses_.IsSuspected(worker_->incarnation)) {
+      losses_.RemoveRun(key->first);
+    }
     run.may_have_started = true;
     if (run.phase == Phase::kStarting) {
       run.phase = Phase::kRunning;
@@ -980,6 +1035,7 @@
 void RunSupervisor::OnTimer(Instant now) {
   CheckHomes(now);
   CheckWorker(now);
+  losses_.Expire(now);
   CheckRuns(now);
   StartReady(now);
 }
@@ -999,6 +1055,11 @@
          kLeaseSlack;
 }
 
+bool RunSupervisor::HasLeaseExpired(Instant now) const {
+  return now - last_renewal_ > LeaseDuration() &&
+         now - last_answer_ > options_.silent_after;
+}
+
 void RunSupervisor::CheckWorker(Instant now) {
   if (!is_settled_ && now - unsettled_since_ > LeaseDuration()) {
     // The leases of all runs that an earlier process of this guard started have
@@ -1006,8 +1067,7 @@
     is_settled_ = true;
     MarkLoadChanged();
   }
-  if (!runs_.empty() && now - last_renewal_ > LeaseDuration() &&
-      now - last_answer_ > options_.silent_after) {
+  if (!runs_.empty() && HasLeaseExpired(now)) {
     log_->Record("worker_silent",
                  {{"worker", worker_ ? worker_->incarnation.id : ""},
                   {"answer_age_ms", Text(Elapsed(last_answer_, now))},
@@ -1155,6 +1215,8 @@
   }
   report.slowness = health_.slowness();
   report.ends = std::exchange(home->ends, {});
+  report.worker_losses = losses_.ResolvedAfter(home->told_losses);
+  home->told_losses = losses_.last_number();
   for (auto run = runs_.lower_bound({home->home, 0});
        run != runs_.end() && run->first.home == home->home; ++run) {
     if (run->second.session != session) ++report.earlier_runs;
@@ -1206,7 +1268,7 @@
   for (auto& [session, home] : sessions_) {
     const auto age = now - home.last_report_at;
     const bool is_due =
-        home.must_report_now ||
+        home.must_report_now || home.told_losses < losses_.last_number() ||
         (home.has_load_change && age >= options_.report_interval) ||
         age >= options_.heartbeat_interval;
     if (!is_due) continue;
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "held/fencing_token.h"
+#include "held/loss_recorder.h"
 #include "held/worker_clock.h"
 #include "held/worker_health.h"
 #include "quetzalspindle/ids.h"
@@ -75,6 +76,7 @@
   // percent of the estimates.
   uint32_t slow_worker_percent = 250;
   WorkerHealthOptions health;
+  LossRecorderOptions losses;
 };
 
 // Identifies a run among the runs of all homes.
@@ -217,6 +219,7 @@
     bool must_report_now = true;      // The next report must not be delayed.
     bool has_load_change = true;      // The load changed since the last report.
     std::vector<RunEnd> ends;         // Ends for the next report.
+    uint64_t told_losses = 0;         // Number of the newest loss told.
   };
 
   using TaskAttempt = std::pair<std::string, uint32_t>;
@@ -245,6 +248,12 @@
   void EndQueuedRuns(Reason reason);
   void EndRun(RunKey key, RunOutcome outcome, Reason reason, Millis run_time,
               EndEvidence evidence);
+  // Records a possible crash of the worker, with the runs that may be there.
+  // One that is leaving does not crash, and runs whose lease has expired have
+  // ended before.
+  void SuspectLoss(LossEvidence evidence, Instant now);
+  void NoteEndOfLostRun(const Run& run, EndEvidence evidence);
+  Reason LostReason() const;
   // Ends a run whose worker is lost.
   void EndLostRun(RunKey key, EndEvidence evidence);
   // Whether the reading may be from the known incarnation of the worker.
@@ -276,6 +285,8 @@
   bool NeedsImmediatePoll(Instant now) const;
   void CheckHomes(Instant now);
   Millis LeaseDuration() const;
+  // Whether the worker is silent and must have ended all runs.
+  bool HasLeaseExpired(Instant now) const;
   void CheckWorker(Instant now);
   void CheckRuns(Instant now);
   void MarkLoadChanged();
@@ -328,6 +339,7 @@
   uint64_t last_end_number_ = 0;  // Highest number of an end received.
   WorkerClock clock_;
   WorkerHealth health_;
+  LossRecorder losses_;
   // No start is sent before this, after the worker refused one for lack of
   // capacity.
   Instant capacity_refused_until_;
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -29,6 +29,9 @@
     }
     for (const SendReport& sent : ActionsOfType<SendReport>(due)) {
       for (const RunEnd& end : sent.report.ends) ends_.push_back(end);
+      for (const WorkerLoss& loss : sent.report.worker_losses) {
+        losses_[sent.session].push_back(loss);
+      }
       reports_[sent.session] = sent.report;
     }
     for (const SendStart& start : ActionsOfType<SendStart>(due)) {
@@ -51,6 +54,22 @@
     CollectActions(ms);
   }
 
+  // Answers the outstanding long poll with a verdict other than "accepted".
+  void FailPoll(int64_t ms, WorkerVerdict verdict) {
+    PollReply reply;
+    reply.verdict = verdict;
+    supervisor_.OnPollReply(long_poll_, reply, At(ms), At(ms));
+    CollectActions(ms);
+  }
+
+  // The worker starts again as another incarnation, which answers a poll.
+  void RestartWorker(int64_t ms, uint64_t started_at) {
+    worker_started_at_ = started_at;
+    supervisor_.OnAnnouncement(MakeAnnouncement(started_at, 1), At(ms));
+    CollectActions(ms);
+    AnswerPoll(ms, {}, {});
+  }
+
   // Orders a run and has the worker accept its start.
   void StartRun(int64_t ms, const RunOrder& order) {
     const size_t before = starts_.size();
@@ -59,6 +78,15 @@
     AcceptStart(starts_.back(), ms);
   }
 
+  // Lets time pass, with echoes of the home and no answer of the worker.
+  void PassSilently(int64_t from_ms, int64_t to_ms) {
+    for (int64_t ms = from_ms; ms <= to_ms; ms += 20) {
+      EchoReport(kSession, ms);
+      supervisor_.OnTimer(At(ms));
+      CollectActions(ms);
+    }
+  }
+
   // Echoes the newest report of the session.
   void EchoReport(uint64_t session, int64_t ms,
                   WorkByUrgency waiting_work = {}) {
@@ -94,6 +122,7 @@
   std::vector<SendStart> starts_;
   std::vector<SendStop> stops_;
   std::vector<RunEnd> ends_;
+  std::map<uint64_t, std::vector<WorkerLoss>> losses_;  // By session.
   std::map<uint64_t, RunReport> reports_;
 };
 
@@ -939,6 +968,234 @@
   EXPECT_EQ(supervisor_.state(At(700)), ServingState::kServing);
 }
 
+// Losses of the worker.
+
+// Guards against a deadly task that crashes one worker after the other: the
+// guard tells which tasks ran when its worker crashed.
+TEST_F(RunSupervisorTest, ACrashIsToldWithItsTasksOnceTheNextOneAnswers) {
+  StartRun(10, MakeOrder(1, "t1"));
+  StartRun(12, MakeOrder(2, "t2"));
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  worker_started_at_ = 2000;
+  supervisor_.OnAnnouncement(MakeAnnouncement(2000, 1), At(200));
+  CollectActions(200);
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kLost);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerDown);
+  EXPECT_TRUE(losses_[kSession].empty());
+  AnswerPoll(201, {}, {});
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_TRUE(losses_[kSession][0].has_crashed);
+  EXPECT_EQ(losses_[kSession][0].started_at, 1000U);
+  EXPECT_EQ(losses_[kSession][0].tasks, (std::vector<std::string>{"t1", "t2"}));
+  CollectActions(1000);
+  EXPECT_EQ(losses_[kSession].size(), 1U);
+}
+
+// Guards against an entry that never learns of a crash: it may connect later.
+TEST_F(RunSupervisorTest, ALaterSessionIsToldOfEarlierLossesForALimitedTime) {
+  StartRun(10, MakeOrder(1, "t1"));
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  RestartWorker(200, 2000);
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(5000));
+  CollectActions(5000);
+  ASSERT_EQ(losses_[kOtherSession].size(), 1U);
+  EXPECT_EQ(losses_[kOtherSession][0].tasks, std::vector<std::string>{"t1"});
+  const Millis lifetime = RunSupervisorOptions().losses.lifetime;
+  const int64_t expired = 300 + lifetime.count();
+  supervisor_.OnTimer(At(expired));
+  supervisor_.OnSessionUp(3, Incarnation{13}, At(expired));
+  CollectActions(expired);
+  EXPECT_TRUE(losses_[3].empty());
+}
+
+// Guards against an innocent task that is given up: its worker went on behind a
+// fault of the network that refused connections.
+TEST_F(RunSupervisorTest, AWorkerThatAnswersAgainHasNotCrashed) {
+  StartRun(10, MakeOrder(1, "t1"));
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  PassSilently(60, 1200);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerDown);
+  FailPoll(1210, WorkerVerdict::kUnreachable);
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 9), At(1300));
+  CollectActions(1300);
+  AnswerPoll(1301, {}, {});
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_FALSE(losses_[kSession][0].has_crashed);
+  EXPECT_EQ(losses_[kSession][0].tasks, std::vector<std::string>{"t1"});
+}
+
+// The same if its run goes on.
+TEST_F(RunSupervisorTest, AWorkerThatListsItsRunAgainHasNotCrashed) {
+  StartRun(10, MakeOrder(1, "t1"));
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  CollectActions(110);
+  AnswerPoll(110, {{"t1", 1, 10}}, {});
+  EXPECT_TRUE(ends_.empty());
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_FALSE(losses_[kSession][0].has_crashed);
+}
+
+// Runs that end with their lease are part of the loss that began before.
+TEST_F(RunSupervisorTest, RunsThatEndedWithTheirLeaseBelongToTheCrash) {
+  StartRun(10, MakeOrder(1, "t1"));
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  PassSilently(60, 1200);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerDown);
+  RestartWorker(3000, 2000);
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_TRUE(losses_[kSession][0].has_crashed);
+  EXPECT_EQ(losses_[kSession][0].tasks, std::vector<std::string>{"t1"});
+}
+
+// Guards against an innocent task that is given up: a partition ended its run
+// before the worker was replaced or refused connections.
+TEST_F(RunSupervisorTest, APartitionIsNoLoss) {
+  StartRun(10, MakeOrder(1, "t1"));
+  PassSilently(20, 1300);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerLost);
+  FailPoll(1400, WorkerVerdict::kUnreachable);
+  RestartWorker(1500, 2000);
+  EXPECT_TRUE(losses_[kSession].empty());
+}
+
+// The same if this process stood still and handles the refusal or the new
+// incarnation before its timer.
+TEST_F(RunSupervisorTest, WhatIsSeenAfterTheLeaseHasExpiredIsNoLoss) {
+  StartRun(10, MakeOrder(1, "t1"));
+  supervisor_.OnAnnouncement(MakeAnnouncement(2000, 1), At(3000));
+  worker_started_at_ = 2000;
+  CollectActions(3000);
+  AnswerPoll(3001, {}, {});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerLost);
+  EXPECT_TRUE(losses_[kSession].empty());
+}
+
+// A worker that is back before a connection was refused has crashed as well.
+TEST_F(RunSupervisorTest, ANewIncarnationWhileRunsAreOpenIsACrash) {
+  StartRun(10, MakeOrder(1, "t1"));
+  RestartWorker(100, 2000);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerDown);
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_TRUE(losses_[kSession][0].has_crashed);
+}
+
+// Guards against innocent tasks that are given up for a planned leave.
+TEST_F(RunSupervisorTest, ADrainingOrWithdrawnWorkerDoesNotCrash) {
+  StartRun(10, MakeOrder(1, "t1"));
+  WorkerAnnouncement draining = MakeAnnouncement(1000, 2);
+  draining.is_draining = true;
+  supervisor_.OnAnnouncement(draining, At(20));
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  RestartWorker(200, 2000);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerLost);
+  StartRun(210, MakeOrder(2, "t2"));
+  supervisor_.OnWithdrawn({"w", 2000}, At(220));
+  FailPoll(250, WorkerVerdict::kUnreachable);
+  RestartWorker(300, 3000);
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].reason, Reason::kWorkerLost);
+  for (const WorkerLoss& loss : losses_[kSession]) {
+    EXPECT_FALSE(loss.has_crashed);
+  }
+}
+
+// The same if the withdrawal or the drain is learned after the refusal.
+TEST_F(RunSupervisorTest, ALateWithdrawalRefutesTheLoss) {
+  StartRun(10, MakeOrder(1, "t1"));
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  PassSilently(60, 1200);
+  supervisor_.OnWithdrawn({"w", 1000}, At(1210));
+  RestartWorker(2000, 2000);
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_FALSE(losses_[kSession][0].has_crashed);
+  StartRun(2010, MakeOrder(2, "t2"));
+  FailPoll(2050, WorkerVerdict::kUnreachable);
+  PassSilently(2060, 3200);
+  WorkerAnnouncement draining = MakeAnnouncement(2000, 2);
+  draining.is_draining = true;
+  supervisor_.OnAnnouncement(draining, At(3210));
+  RestartWorker(3300, 3000);
+  ASSERT_EQ(losses_[kSession].size(), 2U);
+  EXPECT_FALSE(losses_[kSession][1].has_crashed);
+}
+
+// Guards against an innocent task that counts as deadly: its start was refused,
+// or it had ended before the worker crashed.
+TEST_F(RunSupervisorTest, OnlyRunsThatMayHaveBeenOnTheWorkerBelongToTheLoss) {
+  StartRun(10, MakeOrder(1, "ended"));
+  AnswerPoll(20, {}, {{1, "ended", 1, RunEnding::kDone}});
+  StartRun(22, MakeOrder(2, "t1"));
+  PlaceOrders(24, {MakeOrder(3, "refused"), MakeOrder(4, "queued", 32'000)});
+  const SendStart refused = starts_.back();
+  FailPoll(50, WorkerVerdict::kUnreachable);
+  supervisor_.OnStartReply(refused, {WorkerVerdict::kUnreachable, std::nullopt},
+                           At(51));
+  RestartWorker(200, 2000);
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_EQ(losses_[kSession][0].tasks, std::vector<std::string>{"t1"});
+}
+
+// Guards against a loss that is told before the end of its run: a run whose
+// start had no answer is kept, as the next incarnation may carry the start out.
+TEST_F(RunSupervisorTest, ACrashIsToldAfterTheEndsOfItsRuns) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  ASSERT_EQ(starts_.size(), 1U);
+  FailPoll(20, WorkerVerdict::kUnreachable);
+  RestartWorker(60, 2000);
+  EXPECT_TRUE(ends_.empty());
+  EXPECT_TRUE(losses_[kSession].empty());
+  ASSERT_FALSE(stops_.empty());
+  supervisor_.OnStopReply(stops_.back(),
+                          {WorkerVerdict::kAccepted, std::nullopt}, At(62));
+  AnswerPoll(70, {}, {});
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].reason, Reason::kWorkerDown);
+  if (losses_[kSession].empty()) AnswerPoll(80, {}, {});
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_TRUE(losses_[kSession][0].has_crashed);
+  EXPECT_EQ(losses_[kSession][0].tasks, std::vector<std::string>{"t1"});
+}
+
+// The next incarnation lists the run, whose only start call it carried out.
+TEST_F(RunSupervisorTest, ARunOfTheNextIncarnationDoesNotBelongToTheLoss) {
+  PlaceOrders(10, {MakeOrder(1, "t1")});
+  worker_started_at_ = 2000;
+  supervisor_.OnAnnouncement(MakeAnnouncement(2000, 1), At(20));
+  CollectActions(20);
+  AnswerPoll(21, {{"t1", 1, 1}}, {});
+  AnswerPoll(25, {}, {{1, "t1", 1, RunEnding::kInterrupted}});
+  ASSERT_EQ(ends_.size(), 1U);
+  AnswerPoll(30, {}, {});
+  EXPECT_TRUE(losses_[kSession].empty());
+}
+
+// An answer to a poll that was sent before the refusal says nothing about it.
+TEST_F(RunSupervisorTest, AnAnswerThatWasUnderWayDoesNotRefuteTheLoss) {
+  StartRun(10, MakeOrder(1, "t1"));
+  supervisor_.OnTimer(At(170));
+  CollectActions(170);
+  ASSERT_EQ(immediate_poll_count_, 1);
+  PollReply reply;
+  reply.verdict = WorkerVerdict::kUnreachable;
+  supervisor_.OnPollReply(immediate_poll_, reply, At(170), At(171));
+  reply.verdict = WorkerVerdict::kAccepted;
+  reply.started_at = worker_started_at_;
+  reply.running = {{"t1", 1, 50}};
+  supervisor_.OnPollReply(long_poll_, reply, At(10), At(180));
+  CollectActions(180);
+  EXPECT_TRUE(losses_[kSession].empty());
+  RestartWorker(300, 2000);
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_TRUE(losses_[kSession][0].has_crashed);
+}
+
 // Runs that are alone on the worker.
 
 RunOrder MakeLoneOrder(uint64_t number, const std::string& task) {
