--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -97,12 +97,16 @@
       last_answer_(now - options.silent_after),
       last_renewal_(now),
       clock_(options.longest_lease),
-      health_(options.health) {}
+      health_(options.health),
+      losses_(options.losses, log) {}
 
 // Events of the worker.
 
 void RunSupervisor::OnAnnouncement(const WorkerAnnouncement& announcement,
                                    Instant now) {
+  if (announcement.is_draining) {
+    losses_.OnLeave(announcement.incarnation, LossEvidence::kDraining, now);
+  }
   if (!worker_ || worker_->incarnation != announcement.incarnation) {
     const bool is_older = worker_ && announcement.incarnation.started_at <
                                          worker_->incarnation.started_at;
@@ -120,6 +124,7 @@
   // A delayed heartbeat carries an older state of the worker.
   if (announcement.sequence <= worker_->sequence) return;
   const bool began_draining = announcement.is_draining && !worker_->is_draining;
+  const bool has_other_capacity = announcement.capacity != worker_->capacity;
   if (!HasSameOffer(announcement, *worker_)) ++offer_version_;
   // A withdrawal without a start time was a late one of an earlier incarnation.
   if (!is_withdrawal_certain_) is_withdrawn_ = false;
@@ -131,9 +136,27 @@
                                      {"runs", Text(runs_.size())}});
     EndQueuedRuns(Reason::kExecutorDraining);
   }
+  if (has_other_capacity) OnCapacityChanged(now);
   MarkLoadChanged();
 }
 
+void RunSupervisor::OnCapacityChanged(Instant now) {
+  log_->Record("capacity_changed",
+               {{"worker", worker_->incarnation.id},
+                {"cpu_millis", std::to_string(worker_->capacity.cpu_millis)},
+                {"memory_mb", std::to_string(worker_->capacity.memory_mb)},
+                {"used_cpu_millis", std::to_string(used_.cpu_millis)},
+                {"queued", Text(queue_.size())}});
+  const std::vector<RunKey> queued = queue_;
+  for (const RunKey& key : queued) {
+    if (runs_.at(key).order.need.FitsIn(worker_->capacity)) continue;
+    EndRun(key, RunOutcome::kNotStarted, Reason::kConstraintUnmet, Millis(0),
+           EndEvidence::kNotSent);
+  }
+  is_capacity_freed_ = true;
+  StartReady(now);
+}
+
 void RunSupervisor::BeginIncarnation(const WorkerAnnouncement& announcement,
                                      Instant now) {
   EndIncarnation(announcement.incarnation.id, now);
@@ -162,6 +185,7 @@
 // on, so they are tracked until their end is certain.
 void RunSupervisor::OnWithdrawn(const WorkerIncarnation& incarnation,
                                 Instant now) {
+  losses_.OnLeave(incarnation, LossEvidence::kWithdrawn, now);
   const bool is_present =
       worker_ && worker_->incarnation.id == incarnation.id &&
       (incarnation.started_at == 0 ||
@@ -196,6 +220,7 @@
 // sent to the current one, until it knows the raised fencing token. Runs with
 // such starts are kept and stopped there.
 void RunSupervisor::EndIncarnation(std::string_view next_id, Instant now) {
+  SuspectLoss(LossEvidence::kOtherIncarnation, now);
   std::vector<RunKey> ended;
   for (auto& [key, run] : runs_) {
     if (run.open_start_calls == 0 || run.worker_id != next_id) {
@@ -204,7 +229,7 @@
     }
     if (run.phase != Phase::kStopping) {
       run.phase = Phase::kStopping;
-      run.stop_reason = Reason::kWorkerLost;
+      run.stop_reason = LostReason();
       run.stop_began_at = now;
     }
     run.may_have_started = true;
@@ -379,15 +404,22 @@
   return first != run_by_task_.end() && first->first.first == task;
 }
 
+// A run that must be alone goes last. No order is accepted after it, so that
+// none delays it, and none waits until it has ended.
 void RunSupervisor::Enqueue(Run* run) {
   run_by_task_[{run->order.task, run->order.attempt}] = run->key;
+  MarkLoadChanged();
+  if (run->order.must_run_alone) {
+    lone_run_ = run->key;
+    queue_.push_back(run->key);
+    return;
+  }
   const auto place =
       std::upper_bound(queue_.begin(), queue_.end(), run->start_by,
                        [this](Instant start_by, const RunKey& other) {
                          return start_by < runs_.at(other).start_by;
                        });
   queue_.insert(place, run->key);
-  MarkLoadChanged();
 }
 
 void RunSupervisor::QueueWaiting() {
@@ -395,6 +427,7 @@
   for (const RunKey& key : waiting) {
     Run& run = runs_.at(key);
     if (HasRunOf(run.order.task)) continue;
+    if (run.order.must_run_alone && lone_run_) continue;
     if (run.is_stale) {
       EndRun(key, RunOutcome::kNotStarted, Reason::kStaleAttempt, Millis(0),
              EndEvidence::kNotSent);
@@ -410,7 +443,8 @@
   if (refusal != Reason::kNone) return refusal;
   if (order.service != worker_->service) return Reason::kWrongService;
   if (!order.need.FitsIn(worker_->capacity)) return Reason::kConstraintUnmet;
-  const bool starts_now = queue_.empty() && order.need.FitsIn(FreeCapacity());
+  if (lone_run_) return Reason::kExecutorQueueFull;
+  const bool starts_now = queue_.empty() && HasRoomFor(order);
   if (starts_now) return Reason::kNone;
   // While the breaker is open, an order is accepted only if it can start now,
   // as the probe.
@@ -420,6 +454,13 @@
   return QueuedCpu() >= limit ? Reason::kExecutorQueueFull : Reason::kNone;
 }
 
+bool RunSupervisor::HasRoomFor(const RunOrder& order) const {
+  const bool is_idle = runs_.size() == queue_.size();
+  if (order.must_run_alone && !is_idle) return false;
+  if (lone_run_ && runs_.at(*lone_run_).phase != Phase::kQueued) return false;
+  return order.need.FitsIn(FreeCapacity());
+}
+
 Resources RunSupervisor::FreeCapacity() const {
   Resources room = worker_->capacity;
   room -= used_;
@@ -471,7 +512,7 @@
       ++i;  // CheckHomes ends the run as not started.
       continue;
     }
-    if (!run.order.need.FitsIn(FreeCapacity())) {
+    if (!HasRoomFor(run.order)) {
       // Smaller tasks must not delay a large one past the time by which it must
       // start.
       if (now >= run.start_by) return;
@@ -530,7 +571,10 @@
     case WorkerVerdict::kNoAnswer:
       run.may_have_started = true;
       if (run.phase != Phase::kStarting) return;
-      if (run.start_calls < kMaxStartCalls) CallStart(&run, now);
+      // The capacity may have shrunk since the first call.
+      if (run.start_calls < kMaxStartCalls && used_.FitsIn(worker_->capacity)) {
+        CallStart(&run, now);
+      }
       return;
     case WorkerVerdict::kUnreachable:
     case WorkerVerdict::kNotSent:
@@ -660,10 +704,12 @@
     used_ -= run.order.need;
     is_capacity_freed_ = true;
   }
+  NoteEndOfLostRun(run, evidence);
   const auto open = run_by_task_.find({run.order.task, run.order.attempt});
   if (open != run_by_task_.end() && open->second == key) {
     run_by_task_.erase(open);
   }
+  if (lone_run_ == key) lone_run_.reset();
   for (auto& [session, home] : sessions_) {
     if (home.home != key.home) continue;
     home.ends.push_back({key.number, outcome, reason, run_time});
@@ -685,12 +731,53 @@
   MarkLoadChanged();
 }
 
+void RunSupervisor::SuspectLoss(LossEvidence evidence, Instant now) {
+  if (!worker_ || !has_answered_ || HasLeaseExpired(now)) return;
+  if (worker_->is_draining || is_withdrawn_) return;
+  std::vector<TaskAttempt> tasks;
+  for (const auto& [key, run] : runs_) {
+    if (run.phase == Phase::kQueued) continue;
+    tasks.emplace_back(run.order.task, run.order.attempt);
+  }
+  losses_.Suspect(worker_->incarnation, tasks, evidence, now);
+}
+
+void RunSupervisor::NoteEndOfLostRun(const Run& run, EndEvidence evidence) {
+  const TaskAttempt task{run.order.task, run.order.attempt};
+  switch (evidence) {
+    case EndEvidence::kNotSent:
+      return;
+    case EndEvidence::kStartRefused:
+    case EndEvidence::kEndListed:
+      losses_.RemoveRun(task);
+      return;
+    case EndEvidence::kNotListed:
+    case EndEvidence::kDeadlinePassed:
+      // What another incarnation does not list may have been on the lost one.
+      if (worker_ && losses_.IsSuspected(worker_->incarnation)) {
+        losses_.RemoveRun(task);
+        return;
+      }
+      break;
+    case EndEvidence::kWorkerGone:
+    case EndEvidence::kLeaseExpired:
+      break;
+  }
+  losses_.OnRunEnded(task);
+}
+
+Reason RunSupervisor::LostReason() const {
+  return worker_ && losses_.IsSuspected(worker_->incarnation)
+             ? Reason::kWorkerDown
+             : Reason::kWorkerLost;
+}
+
 void RunSupervisor::EndLostRun(RunKey key, EndEvidence evidence) {
   const Run& run = runs_.at(key);
   const bool has_started = run.phase == Phase::kRunning ||
                            run.may_have_started || run.start_calls > 0;
   EndRun(key, has_started ? RunOutcome::kLost : RunOutcome::kNotStarted,
-         has_started ? Reason::kWorkerLost : Reason::kBackendAbsent, Millis(0),
+         has_started ? LostReason() : Reason::kBackendAbsent, Millis(0),
          evidence);
 }
 
@@ -756,6 +843,7 @@
   for (const PollReply::Ended& ended : reply.ended) OnEnded(ended, now);
   ReconcileRunning(reply, sent, now);
   if (reply.ended.size() < kMaxEndsPerPoll) EndMissingRuns(reply, sent, now);
+  losses_.OnAnswer(reply.started_at, sent, now);
   StartReady(now);
 }
 
@@ -770,6 +858,7 @@
                   {"runs", Text(runs_.size())}});
   }
   refuses_connections_ = true;
+  SuspectLoss(LossEvidence::kConnectionRefused, now);
   next_long_poll_at_ = now + kPollRetryDelay;
   GiveUpWorker(now);
 }
@@ -833,6 +922,11 @@
       continue;
     }
     Run& run = runs_.at(key->second);
+    // The only start call of the run was carried out by this incarnation, so
+    // the run was not on an earlier one.
+    if (run.start_calls == 1 && !losses_.IsSuspected(worker_->incarnation)) {
+      losses_.RemoveRun(key->first);
+    }
     run.may_have_started = true;
     if (run.phase == Phase::kStarting) {
       run.phase = Phase::kRunning;
@@ -982,6 +1076,7 @@
 void RunSupervisor::OnTimer(Instant now) {
   CheckHomes(now);
   CheckWorker(now);
+  losses_.Expire(now);
   CheckRuns(now);
   StartReady(now);
 }
@@ -1001,6 +1096,11 @@
          kLeaseSlack;
 }
 
+bool RunSupervisor::HasLeaseExpired(Instant now) const {
+  return now - last_renewal_ > LeaseDuration() &&
+         now - last_answer_ > options_.silent_after;
+}
+
 void RunSupervisor::CheckWorker(Instant now) {
   if (!is_settled_ && now - unsettled_since_ > LeaseDuration()) {
     // The leases of all runs that an earlier process of this guard started have
@@ -1008,8 +1108,7 @@
     is_settled_ = true;
     MarkLoadChanged();
   }
-  if (!runs_.empty() && now - last_renewal_ > LeaseDuration() &&
-      now - last_answer_ > options_.silent_after) {
+  if (!runs_.empty() && HasLeaseExpired(now)) {
     log_->Record("worker_silent",
                  {{"worker", worker_ ? worker_->incarnation.id : ""},
                   {"answer_age_ms", Text(Elapsed(last_answer_, now))},
@@ -1144,7 +1243,8 @@
     report.labels = worker_->labels;
     report.capacity = worker_->capacity;
   }
-  report.used = used_;
+  // No other run can start until a run that must be alone has ended.
+  report.used = lone_run_ && worker_ ? worker_->capacity : used_;
   report.queued_work = QueuedWork();
   report.linked_entries = static_cast<uint32_t>(sessions_.size());
   for (const auto& [number, other] : sessions_) {
@@ -1156,6 +1256,8 @@
   }
   report.slowness = health_.slowness();
   report.ends = std::exchange(home->ends, {});
+  report.worker_losses = losses_.ResolvedAfter(home->told_losses);
+  home->told_losses = losses_.last_number();
   for (auto run = runs_.lower_bound({home->home, 0});
        run != runs_.end() && run->first.home == home->home; ++run) {
     if (run->second.session != session) ++report.earlier_runs;
@@ -1209,7 +1311,7 @@
   for (auto& [session, home] : sessions_) {
     const auto age = now - home.last_report_at;
     const bool is_due =
-        home.must_report_now ||
+        home.must_report_now || home.told_losses < losses_.last_number() ||
         (home.has_load_change && age >= options_.report_interval) ||
         age >= options_.heartbeat_interval;
     if (!is_due) continue;
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "held/fencing_token.h"
+#include "held/loss_recorder.h"
 #include "held/worker_clock.h"
 #include "held/worker_health.h"
 #include "quetzalspindle/ids.h"
@@ -75,6 +76,7 @@
   // percent of the estimates.
   uint32_t slow_worker_percent = 250;
   WorkerHealthOptions health;
+  LossRecorderOptions losses;
 };
 
 // Identifies a run among the runs of all homes.
@@ -221,6 +223,7 @@
     bool must_report_now = true;      // The next report must not be delayed.
     bool has_load_change = true;      // The load changed since the last report.
     std::vector<RunEnd> ends;         // Ends for the next report.
+    uint64_t told_losses = 0;         // Number of the newest loss told.
   };
 
   using TaskAttempt = std::pair<std::string, uint32_t>;
@@ -228,6 +231,11 @@
   void AcceptOrder(uint64_t session, HomeSession* home, RunOrder order,
                    Instant now);
   Reason RefusalFor(const RunOrder& order, Instant now) const;
+  // Gives back the queued runs that do not fit any more, and starts those that
+  // fit now.
+  void OnCapacityChanged(Instant now);
+  // Whether the order could start now if nothing was queued before it.
+  bool HasRoomFor(const RunOrder& order) const;
   Resources FreeCapacity() const;
   uint32_t CountRunsOfStep(Incarnation home, uint32_t step_tag) const;
   void StartReady(Instant now);
@@ -248,6 +256,12 @@
   void EndQueuedRuns(Reason reason);
   void EndRun(RunKey key, RunOutcome outcome, Reason reason, Millis run_time,
               EndEvidence evidence);
+  // Records a possible crash of the worker, with the runs that may be there.
+  // One that is leaving does not crash, and runs whose lease has expired have
+  // ended before.
+  void SuspectLoss(LossEvidence evidence, Instant now);
+  void NoteEndOfLostRun(const Run& run, EndEvidence evidence);
+  Reason LostReason() const;
   // Ends a run whose worker is lost.
   void EndLostRun(RunKey key, EndEvidence evidence);
   // Whether the reading may be from the known incarnation of the worker.
@@ -279,6 +293,8 @@
   bool NeedsImmediatePoll(Instant now) const;
   void CheckHomes(Instant now);
   Millis LeaseDuration() const;
+  // Whether the worker is silent and must have ended all runs.
+  bool HasLeaseExpired(Instant now) const;
   void CheckWorker(Instant now);
   void CheckRuns(Instant now);
   void MarkLoadChanged();
@@ -331,6 +347,7 @@
   uint64_t last_end_number_ = 0;  // Highest number of an end received.
   WorkerClock clock_;
   WorkerHealth health_;
+  LossRecorder losses_;
   // No start is sent before this, after the worker refused one for lack of
   // capacity.
   Instant capacity_refused_until_;
@@ -342,6 +359,8 @@
   // Orders of tasks of which another run may still be executing, in the order
   // of their arrival. They take no room in the queue.
   std::vector<RunKey> waiting_;
+  // The run that must be alone on the worker, queued or started.
+  std::optional<RunKey> lone_run_;
   // All runs but those in `waiting_`.
   std::map<TaskAttempt, RunKey> run_by_task_;
   std::map<uint64_t, HomeSession> sessions_;
