Follow capacity that shrinks at the entries

Cause: the capacity of a worker may change while it runs. A worker that runs more than it has since its capacity shrank looked like one with an empty queue and was sent tasks. Each capacity that was ever announced was stored. A job could fail as impossible because a worker had announced no capacity so far.

Change: a worker that uses more than its capacity gets no task. Of the offers that were seen, those that fit in another are dropped. A worker that has no capacity at the moment may turn out to fit any task.

Result: three new tests of worker_table_test and one of job_scheduler_test pass.

--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -74,14 +74,24 @@
     record->in_flight.erase(record->in_flight.begin());
   }
   if (report.has_offer && !report.service.empty()) {
-    const Offer offer{report.service, report.capacity, report.labels};
-    if (std::find(offers_.begin(), offers_.end(), offer) == offers_.end()) {
-      offers_.push_back(offer);
-    }
+    AddOffer({report.service, report.capacity, report.labels});
   }
   if (slowness_changed) UpdateOutliers();
 }
 
+void WorkerTable::AddOffer(Offer offer) {
+  const auto is_covered = [](const Offer& one, const Offer& by) {
+    return one.service == by.service && one.labels == by.labels &&
+           one.capacity.FitsIn(by.capacity);
+  };
+  for (const Offer& known : offers_) {
+    if (is_covered(offer, known)) return;
+  }
+  std::erase_if(offers_,
+                [&](const Offer& known) { return is_covered(known, offer); });
+  offers_.push_back(std::move(offer));
+}
+
 void WorkerTable::MergeReport(WorkerRecord* record, const RunReport& report) {
   RunReport& last = record->report;
   RunReport merged = report;
@@ -202,6 +212,8 @@
       continue;
     }
     if (free_capacity_only) continue;
+    // After the capacity has shrunk, the runs beyond it must end first.
+    if (!record.report.used.FitsIn(record.report.capacity)) continue;
     const Millis delay = QueueDelay(record);
     if (delay > options_.max_queue_delay) continue;
     const auto length =
@@ -252,8 +264,16 @@
 }
 
 bool WorkerTable::CouldEverRun(const PlacementNeed& need) const {
-  return std::any_of(offers_.begin(), offers_.end(),
-                     [&](const Offer& offer) { return CanRun(offer, need); });
+  const bool has_offer =
+      std::any_of(offers_.begin(), offers_.end(),
+                  [&](const Offer& offer) { return CanRun(offer, need); });
+  if (has_offer) return true;
+  return std::any_of(records_.begin(), records_.end(), [&](const auto& item) {
+    const RunReport& report = item.second.report;
+    return item.second.is_connected && report.service == need.service &&
+           report.capacity.cpu_millis <= 0 &&
+           HasLabel(report.labels, need.required_label);
+  });
 }
 
 bool WorkerTable::LacksOffer(const PlacementNeed& need) const {
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -95,11 +95,11 @@
   // set, none has a short enough queue.
   WorkerRecord* Choose(const PlacementNeed& need, bool free_capacity_only,
                        Instant now, Incarnation* guard);
-
   // Total processors of the workers that serve `service` now, outliers
   // excluded, in thousandths of a core.
   int64_t ServingCpu(const std::string& service, Instant now) const;
-  // Whether some worker that ever reported to this entry could run the task.
+  // Whether some worker that ever reported to this entry could run the task, or
+  // might: of one that has no capacity now, the usual capacity is not known.
   bool CouldEverRun(const PlacementNeed& need) const;
   // Whether workers are connected now and none of them could run the task, even
   // with all its capacity free. False if no worker is connected.
@@ -132,16 +132,16 @@
   WorkerTableOptions options_;
   std::minstd_rand random_;
   // What some worker has offered. Kept after the worker disconnects, because it
-  // may reconnect.
+  // may reconnect, and after its capacity shrinks, because it may grow again.
   struct Offer {
     std::string service;
     Resources capacity;
     std::vector<std::string> labels;
-    bool operator==(const Offer&) const = default;
   };
+  void AddOffer(Offer offer);
 
   Map records_;
-  std::vector<Offer> offers_;
+  std::vector<Offer> offers_;  // None fits in another of the same kind.
 };
 
 }  // namespace qs
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -517,5 +517,19 @@
   EXPECT_EQ(answers_[1].reason, Reason::kNoSuchQueue);
 }
 
+// Guards against a job that fails as impossible because the capacity of the
+// workers is small when it arrives.
+TEST_F(JobSchedulerTest, AJobWaitsWhileTheCapacityIsSmall) {
+  ConnectGuard(kGuardA, 0);
+  ConnectGuard(kGuardB, 0, MakeReport(1, 0, 4000));
+  scheduler_.OnReport(kGuardA, MakeReport(2, 0, 4000), At(5));
+  Submit(1, MakeJob("a", 1, 16'000), 10);
+  EXPECT_TRUE(orders_.empty());
+  EXPECT_TRUE(answers_.empty());
+  scheduler_.OnReport(kGuardA, MakeReport(3), At(20));
+  CollectActions(20);
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
 }  // namespace
 }  // namespace qs::test
--- a/tests/worker_table_test.cc
+++ b/tests/worker_table_test.cc
@@ -135,5 +135,50 @@
   EXPECT_EQ(table_.ServingCpu("svc", At(0)), 6 * 32'000);
 }
 
+// Guards against tasks sent to a worker whose capacity has just shrunk: the
+// runs beyond it must end before another can start.
+TEST_F(WorkerTableTest, AWorkerThatRunsMoreThanItsCapacityGetsNoTask) {
+  Report(0, MakeReport(1, 28'000, 8'000));
+  PlacementNeed need;
+  need.service = "svc";
+  need.resources = {3000, 64, 0};
+  Incarnation guard;
+  EXPECT_EQ(table_.Choose(need, false, At(0), &guard), nullptr);
+  EXPECT_EQ(table_.ServingCpu("svc", At(0)), 8000);
+  // With the next report it gets tasks again.
+  Report(0, MakeReport(2, 4000, 8'000));
+  EXPECT_NE(table_.Choose(need, false, At(0), &guard), nullptr);
+}
+
+TEST_F(WorkerTableTest, AWorkerWithoutCapacityGetsNoTask) {
+  RunReport none = MakeReport(1, 0, 0);
+  none.capacity = {};
+  Report(0, none);
+  PlacementNeed need;
+  need.service = "svc";
+  need.resources = {3000, 64, 0};
+  Incarnation guard;
+  EXPECT_EQ(table_.Choose(need, false, At(0), &guard), nullptr);
+  EXPECT_EQ(table_.ServingCpu("svc", At(0)), 0);
+  EXPECT_TRUE(table_.LacksOffer(need));
+}
+
+// Guards against a job that fails as impossible because of the moment at which
+// it arrives.
+TEST_F(WorkerTableTest, WhatAWorkerOfferedCountsWhileItsCapacityIsSmall) {
+  PlacementNeed need;
+  need.service = "svc";
+  need.resources = {20'000, 64, 0};
+  // The usual capacity of a worker that has none now is not known.
+  Report(0, MakeReport(1, 0, 0));
+  EXPECT_TRUE(table_.CouldEverRun(need));
+  Report(0, MakeReport(2, 0, 8000));
+  EXPECT_FALSE(table_.CouldEverRun(need));
+  Report(0, MakeReport(3));
+  EXPECT_TRUE(table_.CouldEverRun(need));
+  Report(0, MakeReport(4, 0, 8000));
+  EXPECT_TRUE(table_.CouldEverRun(need));
+}
+
 }  // namespace
 }  // namespace qs::test
