Give up the jobs of tasks that crash their workers

Change: JobScheduler feeds CrashLedger with the ends of runs and with the losses that guards tell. A suspect is ordered to run alone on an idle worker if there is one, with one open run for each 16 connected workers and at least one, and does not count against the dispatch of other tasks. A task that may be convicted by losses that are not resolved waits. The job of a convicted task fails with crashes_workers, also if it arrives later. To the entry, an order that runs alone occupies the whole worker.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -14,6 +14,7 @@
 // A job is assumed to take up to this multiple of its estimated run time,
 // including its wait for workers.
 constexpr int kEstimateFactor = 2;
+constexpr int kPartsAfterJob = 3;      // Of the name of a task; see TaskName.
 constexpr Millis kRestartRetry{1000};  // About the time until a peer is ready.
 
 Millis TimeUntil(Instant now, Instant then) {
@@ -22,6 +23,22 @@
 
 std::string NameOf(Reason reason) { return std::string(ReasonName(reason)); }
 
+// Returns the name of a task, the same at all entries.
+std::string TaskName(const std::string& job, uint32_t step, uint32_t index) {
+  return job + ".0." + std::to_string(step) + "." + std::to_string(index);
+}
+
+// Returns the id of the job to which the task with this name belongs.
+std::string JobOf(const std::string& task_name) {
+  size_t end = task_name.size();
+  for (int part = 0; part < kPartsAfterJob && end > 0; ++part) {
+    const size_t dot = task_name.rfind('.', end - 1);
+    if (dot == std::string::npos) return {};
+    end = dot;
+  }
+  return task_name.substr(0, end);
+}
+
 // A job is on time if it ends within this time from its arrival.
 Millis ObjectiveOf(const QueueDeclaration& queue, Millis critical_path) {
   return std::chrono::duration_cast<Millis>(critical_path *
@@ -50,7 +67,8 @@
       observer_(observer),
       log_(log),
       started_at_(now),
-      workers_(options.workers, seed) {}
+      workers_(options.workers, seed),
+      crashes_(options.crashes) {}
 
 // Jobs from callers.
 
@@ -98,6 +116,7 @@
     AnswerCaller(caller, job.id, {HeldState::kRefused, reason, Millis(0)});
     return;
   }
+  if (RefuseConvicted(caller, job, now)) return;
   Millis retry_after{0};
   const Reason refusal =
       CheckAdmission(*queue, job, received, now, &retry_after);
@@ -111,11 +130,31 @@
   } else if (refusal != Reason::kNone) {
     AnswerCaller(caller, job.id, {HeldState::kRefused, refusal, retry_after});
   } else {
-    Admit(caller, *queue, std::move(job), received);
+    Admit(caller, *queue, std::move(job), received, now);
     Dispatch(now);
   }
 }
 
+bool JobScheduler::RefuseConvicted(uint64_t caller, const HeldJob& job,
+                                   Instant now) {
+  if (crashes_.is_empty()) return false;
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (uint32_t index = 0; index < job.steps[step].tasks; ++index) {
+      const std::string task = TaskName(job.id, step, index);
+      if (crashes_.Judge(task, now) != CrashVerdict::kConvicted) continue;
+      log_->Record("job_not_admitted",
+                   {{"job", job.id},
+                    {"reason", NameOf(Reason::kCrashesWorkers)},
+                    {"task", task},
+                    {"crashes", crashes_.CrashesUnder(task, now)}});
+      AnswerCaller(caller, job.id,
+                   {HeldState::kFailed, Reason::kCrashesWorkers, Millis(0)});
+      return true;
+    }
+  }
+  return false;
+}
+
 Reason JobScheduler::CheckAdmission(const QueueDeclaration& queue,
                                     const HeldJob& job, Instant received,
                                     Instant now, Millis* retry_after) const {
@@ -207,7 +246,7 @@
 }
 
 void JobScheduler::Admit(uint64_t caller, const QueueDeclaration& queue,
-                         HeldJob spec, Instant received) {
+                         HeldJob spec, Instant received, Instant now) {
   const uint64_t number = next_job_++;
   Job& job = jobs_[number];
   job.number = number;
@@ -243,7 +282,7 @@
                                 {"rack", job.spec.steps[0].preferred_rack},
                                 {"objective_ms", Text(objective)},
                                 {"config_version", Text(catalog_->version)}});
-  if (!job.awaits_earlier_runs) UnblockSteps(&job);
+  if (!job.awaits_earlier_runs) UnblockSteps(&job, now);
 }
 
 void JobScheduler::AnswerCaller(uint64_t caller, const std::string& id,
@@ -275,7 +314,7 @@
 
 // Tasks and runs.
 
-void JobScheduler::UnblockSteps(Job* job) {
+void JobScheduler::UnblockSteps(Job* job, Instant now) {
   for (uint32_t i = 0; i < job->tasks.size(); ++i) {
     if (job->tasks[i].phase != TaskPhase::kBlocked) continue;
     const HeldStep& step = job->spec.steps[job->tasks[i].step];
@@ -283,7 +322,7 @@
         step.depends_on.begin(), step.depends_on.end(), [&](uint32_t earlier) {
           return job->open_tasks_in_step[earlier] == 0;
         });
-    if (is_ready) Enqueue(job, i);
+    if (is_ready) Enqueue(job, i, now);
   }
 }
 
@@ -292,8 +331,20 @@
          options_.priority_delay * job.priority;
 }
 
-void JobScheduler::Enqueue(Job* job, uint32_t index) {
+void JobScheduler::Enqueue(Job* job, uint32_t index, Instant now) {
   Task& task = job->tasks[index];
+  if (!crashes_.is_empty()) {
+    const std::string name = TaskName(job->spec.id, task.step, task.index);
+    if (crashes_.Judge(name, now) == CrashVerdict::kOnHold) {
+      task.phase = TaskPhase::kOnHold;
+      on_hold_.emplace(job->number, index);
+      log_->Record("task_on_hold",
+                   {{"task", name},
+                    {"attempt", Text(task.attempt)},
+                    {"crashes", crashes_.CrashesUnder(name, now)}});
+      return;
+    }
+  }
   task.phase = TaskPhase::kWaiting;
   waiting_.insert({StartByOf(*job, task), job->number, index});
 }
@@ -361,35 +412,65 @@
   is_dispatch_due_ = false;
   if (HandledUntil(now) < now) return;
   int failed_placements = 0;
+  int failed_suspects = 0;
   for (auto item = waiting_.begin();
        item != waiting_.end() && failed_placements < kMaxFailedPlacements;) {
     const WaitingTask next = *item++;
-    if (!DispatchTask(&jobs_.at(next.job), next.task, now)) ++failed_placements;
+    Job& job = jobs_.at(next.job);
+    const Task& task = job.tasks[next.task];
+    const bool is_suspect =
+        !crashes_.is_empty() &&
+        crashes_.Judge(TaskName(job.spec.id, task.step, task.index), now) !=
+            CrashVerdict::kSound;
+    if (!is_suspect) {
+      if (!DispatchTask(&job, next.task, false, now)) ++failed_placements;
+    } else if (failed_suspects < kMaxFailedPlacements && MayStartSuspect()) {
+      // Counted apart, so that suspects do not keep other tasks waiting.
+      if (!DispatchTask(&job, next.task, true, now)) ++failed_suspects;
+    }
   }
 }
 
-bool JobScheduler::DispatchTask(Job* job, uint32_t index, Instant now) {
-  Task& task = job->tasks[index];
-  PlacementNeed need = NeedOf(*job, task);
-  Incarnation guard;
-  WorkerRecord* record = workers_.Choose(need, false, now, &guard);
+bool JobScheduler::MayStartSuspect() const {
+  const size_t limit = std::max<size_t>(
+      workers_.CountConnected() / options_.workers_per_suspect, 1);
+  return runs_alone_ < limit;
+}
+
+WorkerRecord* JobScheduler::PlaceTask(const Job& job, const Task& task,
+                                      bool must_run_alone, Instant now,
+                                      Incarnation* guard) {
+  PlacementNeed need = NeedOf(job, task);
+  const auto choose = [&](bool free_capacity_only) {
+    return must_run_alone
+               ? workers_.ChooseToRunAlone(need, now, guard)
+               : workers_.Choose(need, free_capacity_only, now, guard);
+  };
+  WorkerRecord* record = choose(false);
   if (record == nullptr && !need.avoid.empty()) {
     // No other worker has free capacity: a guard at which the task failed is
     // better than none.
     need.avoid.clear();
-    record = workers_.Choose(need, true, now, &guard);
+    record = choose(true);
   }
-  if (record == nullptr) {
-    // Guards without a link to this entry may have a suitable worker.
-    if (workers_.LacksOffer(need)) wants_more_workers_ = true;
-    return false;
+  // Guards without a link to this entry may have a suitable worker.
+  if (record == nullptr && workers_.LacksOffer(need)) {
+    wants_more_workers_ = true;
   }
+  return record;
+}
+
+bool JobScheduler::DispatchTask(Job* job, uint32_t index, bool must_run_alone,
+                                Instant now) {
+  Task& task = job->tasks[index];
+  Incarnation guard;
+  WorkerRecord* record = PlaceTask(*job, task, must_run_alone, now, &guard);
+  if (record == nullptr) return false;
   const HeldStep& step = job->spec.steps[task.step];
   Dequeue(job, index);
   RunOrder order;
   order.number = next_run_++;
-  order.task = job->spec.id + ".0." + std::to_string(task.step) + "." +
-               std::to_string(task.index);
+  order.task = TaskName(job->spec.id, task.step, task.index);
   order.attempt = task.attempt;
   order.step_tag = static_cast<uint32_t>(job->number << 6U) + task.step;
   order.max_per_worker = step.max_per_worker;
@@ -399,6 +480,7 @@
   order.estimate = step.estimate;
   order.slack = TimeUntil(now, StartByOf(*job, task));
   order.remaining = TimeUntil(now, job->caller_deadline);
+  order.must_run_alone = must_run_alone;
   task.phase = TaskPhase::kDispatched;
   task.run = order.number;
   ++job->open_runs;
@@ -408,6 +490,16 @@
   run.guard = guard;
   run.connection = record->connection;
   run.job_id = job->spec.id;
+  run.task_name = order.task;
+  run.is_alone = must_run_alone;
+  if (must_run_alone) {
+    ++runs_alone_;
+    log_->Record("suspect_dispatched",
+                 {{"task", order.task},
+                  {"attempt", Text(task.attempt)},
+                  {"guard", record->address.ToString()},
+                  {"crashes", crashes_.CrashesUnder(order.task, now)}});
+  }
   record->open_runs.insert(order.number);
   WorkerTable::OnOrderSent(record, order);
   OutgoingTo(guard)->orders.push_back(std::move(order));
@@ -425,6 +517,12 @@
   WorkerRecord* record = workers_.Find(run.guard);
   if (record != nullptr) record->open_runs.erase(number);
   runs_.erase(found);
+  if (run.is_alone) --runs_alone_;
+  const bool is_down = end.outcome == RunOutcome::kLost &&
+                       end.reason == Reason::kWorkerDown && record != nullptr;
+  if (is_down) {
+    crashes_.OnRunLost(run.task_name, record->address, run.is_alone, now);
+  }
   const auto held = jobs_.find(run.job);
   if (held == jobs_.end()) {
     OnLeftoverRunEnd(run.job_id, now);
@@ -445,7 +543,7 @@
       if (--job.open_tasks == 0) {
         FinishJob(&job, {HeldState::kComplete, Reason::kNone, Millis(0)}, now);
       } else if (job.open_tasks_in_step[task.step] == 0) {
-        UnblockSteps(&job);
+        UnblockSteps(&job, now);
       }
       return;
     case RunOutcome::kFailed:
@@ -474,13 +572,19 @@
       break;
     case RunOutcome::kLost:
       ++task.attempt;
-      if (end.reason == Reason::kRunStalled) task.avoid.insert(run.guard);
+      // A second crash elsewhere says more about the task than one at the same
+      // worker.
+      if (end.reason == Reason::kRunStalled ||
+          end.reason == Reason::kWorkerDown) {
+        task.avoid.insert(run.guard);
+      }
       break;
   }
-  RetryTask(&job, run.task, end.reason);
+  RetryTask(&job, run.task, end.reason, now);
 }
 
-void JobScheduler::RetryTask(Job* job, uint32_t index, Reason reason) {
+void JobScheduler::RetryTask(Job* job, uint32_t index, Reason reason,
+                             Instant now) {
   observer_->Retried(reason);
   const Task& task = job->tasks[index];
   if (reason != Reason::kExecutorQueueFull) {
@@ -491,7 +595,61 @@
                                   {"failures", Text(task.failures)},
                                   {"reason", NameOf(reason)}});
   }
-  Enqueue(job, index);
+  Enqueue(job, index, now);
+}
+
+void JobScheduler::OnWorkerLoss(Address guard, const WorkerLoss& loss,
+                                Instant now) {
+  crashes_.OnWorkerLoss(guard, loss, now);
+  log_->Record("worker_loss", {{"guard", guard.ToString()},
+                               {"started_at", Text(loss.started_at)},
+                               {"crashed", loss.has_crashed ? "yes" : "no"},
+                               {"tasks", Text(loss.tasks.size())}});
+  for (const std::string& task : loss.tasks) FollowVerdict(task, now);
+}
+
+void JobScheduler::FollowVerdict(const std::string& task_name, Instant now) {
+  const auto held = job_by_id_.find(JobOf(task_name));
+  if (held == job_by_id_.end()) return;
+  Job& job = jobs_.at(held->second);
+  const auto task = std::find_if(
+      job.tasks.begin(), job.tasks.end(), [&](const Task& candidate) {
+        return TaskName(job.spec.id, candidate.step, candidate.index) ==
+               task_name;
+      });
+  if (task == job.tasks.end() || task->phase == TaskPhase::kDone) return;
+  const auto index = static_cast<uint32_t>(task - job.tasks.begin());
+  const CrashVerdict verdict = crashes_.Judge(task_name, now);
+  if (verdict == CrashVerdict::kConvicted) {
+    log_->Record("job_given_up",
+                 {{"job", job.spec.id},
+                  {"reason", NameOf(Reason::kCrashesWorkers)},
+                  {"age_ms", Text(Elapsed(job.arrived_at, now))},
+                  {"task", task_name},
+                  {"crashes", crashes_.CrashesUnder(task_name, now)},
+                  {"open_runs", Text(job.open_runs)}});
+    observer_->TaskEnded(Outcome::kFailed, Reason::kCrashesWorkers);
+    FinishJob(&job, {HeldState::kFailed, Reason::kCrashesWorkers, Millis(0)},
+              now);
+  } else if (task->phase == TaskPhase::kOnHold &&
+             verdict != CrashVerdict::kOnHold) {
+    on_hold_.erase({job.number, index});
+    Enqueue(&job, index, now);
+  } else if (task->phase == TaskPhase::kWaiting &&
+             verdict == CrashVerdict::kOnHold) {
+    Dequeue(&job, index);
+    Enqueue(&job, index, now);
+  }
+}
+
+void JobScheduler::ReleaseHeld(Instant now) {
+  std::vector<std::string> names;
+  for (const auto& [number, index] : on_hold_) {
+    const Job& job = jobs_.at(number);
+    const Task& task = job.tasks[index];
+    names.push_back(TaskName(job.spec.id, task.step, task.index));
+  }
+  for (const std::string& name : names) FollowVerdict(name, now);
 }
 
 void JobScheduler::StopRun(uint64_t number) {
@@ -527,7 +685,7 @@
   Job& job = jobs_.at(next->second);
   if (!job.awaits_earlier_runs) return;
   job.awaits_earlier_runs = false;
-  UnblockSteps(&job);
+  UnblockSteps(&job, now);
   Dispatch(now);
 }
 
@@ -538,6 +696,7 @@
   for (uint32_t i = 0; i < job->tasks.size(); ++i) {
     Task& task = job->tasks[i];
     if (task.phase == TaskPhase::kWaiting) Dequeue(job, i);
+    if (task.phase == TaskPhase::kOnHold) on_hold_.erase({job->number, i});
     if (task.phase != TaskPhase::kDispatched || task.run == 0) continue;
     StopRun(task.run);
     ++leftover;
@@ -681,6 +840,9 @@
   if (record == nullptr || !record->is_connected) return;
   workers_.OnReport(record, report, now);
   for (const RunEnd& end : report.ends) OnRunEnd(end.number, end, now);
+  for (const WorkerLoss& loss : report.worker_losses) {
+    OnWorkerLoss(record->address, loss, now);
+  }
   SettleOrphans(*record, report.earlier_runs, now);
   std::vector<uint64_t> former_runs;
   if (report.is_settled) {
@@ -712,6 +874,7 @@
   last_timer_at_ = now;
   ExpireJobs(now);
   ExpireRuns(now);
+  ReleaseHeld(now);
   for (auto& [guard, record] : workers_.records()) {
     if (record.is_connected && !record.open_runs.empty()) OutgoingTo(guard);
   }
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/observer.h"
+#include "held/crash_ledger.h"
 #include "held/worker_table.h"
 #include "quetzalspindle/catalog.h"
 #include "quetzalspindle/held_job.h"
@@ -50,6 +51,10 @@
   // over, jobs are not refused because no worker is known.
   Millis warm_up{4000};
   uint32_t max_jobs = 2000;  // Jobs held at a time; each has a connection.
+  // Connected workers per open run of a suspect task. Such a run needs a worker
+  // of its own. One is always allowed.
+  size_t workers_per_suspect = 16;
+  CrashLedgerOptions crashes;
   WorkerTableOptions workers;
 };
 
@@ -67,6 +72,8 @@
 // tasks are dispatched, and to which worker. A task has one run at a time:
 // while a run may still be executing somewhere, the task is not started again
 // until the guard reports the end of the run or every lease of it has expired.
+// A task that may have crashed its worker runs alone from then on, and its job
+// is given up once it is certain that the task crashes workers.
 // No I/O, no threads: events in, actions out through TakeActions.
 class JobScheduler {
  public:
@@ -121,6 +128,7 @@
   enum class TaskPhase : uint8_t {
     kBlocked,     // An earlier step has open tasks.
     kWaiting,     // Ready, in `waiting_`.
+    kOnHold,      // Ready, in `on_hold_`; see CrashVerdict.
     kDispatched,  // Has an open run.
     kDone         // Ended with success.
   };
@@ -174,6 +182,8 @@
     Incarnation guard;
     uint64_t connection = 0;  // The guard's connection that took the order.
     std::string job_id;
+    std::string task_name;
+    bool is_alone = false;    // It was ordered to run alone.
     bool is_stopped = false;  // A stop was sent.
     bool is_orphan = false;   // Its guard was disconnected or silent.
     Instant orphaned_at;
@@ -181,7 +191,7 @@
   };
 
   void Admit(uint64_t caller, const QueueDeclaration& queue, HeldJob job,
-             Instant received);
+             Instant received, Instant now);
   // Returns kNone if the job is to be admitted, and sets `retry_after`
   // otherwise where a retry makes sense.
   Reason CheckAdmission(const QueueDeclaration& queue, const HeldJob& job,
@@ -193,10 +203,13 @@
                     Instant now) const;
   // Whether each step fits some worker that ever reported.
   bool CouldRunEveryStep(const std::string& service, const HeldJob& job) const;
+  // Answers a job of which a task is convicted. Returns false if none is.
+  bool RefuseConvicted(uint64_t caller, const HeldJob& job, Instant now);
   void AnswerCaller(uint64_t caller, const std::string& id, HeldAnswer answer);
   // Queues the tasks of all steps whose earlier steps are done.
-  void UnblockSteps(Job* job);
-  void Enqueue(Job* job, uint32_t task);
+  void UnblockSteps(Job* job, Instant now);
+  // Queues the task, or puts it on hold.
+  void Enqueue(Job* job, uint32_t task, Instant now);
   void Dequeue(Job* job, uint32_t task);
   Instant StartByOf(const Job& job, const Task& task) const;
   PlacementNeed NeedOf(const Job& job, const Task& task) const;
@@ -210,9 +223,20 @@
   // none while events of a pause are unhandled.
   void Dispatch(Instant now);
   // Sends one task to a worker. Returns false if none can take it now.
-  bool DispatchTask(Job* job, uint32_t task, Instant now);
+  bool DispatchTask(Job* job, uint32_t task, bool must_run_alone, Instant now);
+  // Chooses a worker for the task. Returns null if none can take it now.
+  WorkerRecord* PlaceTask(const Job& job, const Task& task, bool must_run_alone,
+                          Instant now, Incarnation* guard);
+  // Whether one more suspect task may have an open run.
+  bool MayStartSuspect() const;
+  void OnWorkerLoss(Address guard, const WorkerLoss& loss, Instant now);
+  // Follows a change of the ledger: gives the job of a convicted task up, and
+  // puts a waiting task on hold or the reverse.
+  void FollowVerdict(const std::string& task_name, Instant now);
+  // Queues the tasks on hold whose losses do not count any more.
+  void ReleaseHeld(Instant now);
   void OnRunEnd(uint64_t number, const RunEnd& end, Instant now);
-  void RetryTask(Job* job, uint32_t task, Reason reason);
+  void RetryTask(Job* job, uint32_t task, Reason reason, Instant now);
   // Marks the open runs at a guard as orphans, to be released when all leases
   // that were last renewed at `since` have expired.
   void OrphanRuns(const WorkerRecord& record, Instant since, Instant now);
@@ -263,13 +287,17 @@
   Instant finish_by_;
   std::shared_ptr<const Catalog> catalog_;
   WorkerTable workers_;
+  CrashLedger crashes_;
   uint64_t next_job_ = 1;
   uint64_t next_run_ = 1;
   std::unordered_map<uint64_t, Job> jobs_;
   std::unordered_map<std::string, uint64_t> job_by_id_;
   std::unordered_map<uint64_t, uint64_t> job_by_caller_;
   std::set<WaitingTask> waiting_;
+  // Job and task of those that wait until losses of workers are resolved.
+  std::set<std::pair<uint64_t, uint32_t>> on_hold_;
   std::map<uint64_t, Run> runs_;
+  size_t runs_alone_ = 0;  // Number of runs that were ordered to run alone.
   // Number of open runs of jobs that were answered, by the job's id.
   std::unordered_map<std::string, uint32_t> leftover_runs_;
   std::map<Incarnation, RunOrders> outgoing_;
--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -96,6 +96,7 @@
   RunReport& last = record->report;
   RunReport merged = report;
   merged.ends.clear();
+  merged.worker_losses.clear();
   if (!report.has_offer) {
     // A report without an offer leaves the last one in force.
     merged.service = std::move(last.service);
@@ -108,9 +109,12 @@
 }
 
 void WorkerTable::OnOrderSent(WorkerRecord* record, const RunOrder& order) {
-  const uint64_t work = TaskWork(order.need, order.estimate);
-  record->in_flight[order.number] = {order.need, work};
-  record->in_flight_need += order.need;
+  // A run that is alone occupies the whole worker.
+  const Resources& need =
+      order.must_run_alone ? record->report.capacity : order.need;
+  const uint64_t work = TaskWork(need, order.estimate);
+  record->in_flight[order.number] = {need, work};
+  record->in_flight_need += need;
   record->in_flight_work += work;
 }
 
@@ -157,6 +161,12 @@
          CanRun(record.report, need);
 }
 
+bool WorkerTable::IsCandidate(Incarnation guard, const WorkerRecord& record,
+                              const PlacementNeed& need, Instant now) const {
+  return IsUsable(record, need, now) && !need.avoid.contains(guard) &&
+         (!record.is_outlier || now >= record.next_trial);
+}
+
 bool WorkerTable::IsFresh(const WorkerRecord& record, Instant now) const {
   return record.is_connected && record.has_report &&
          now - record.last_report_at <= options_.report_timeout;
@@ -198,9 +208,7 @@
   Candidate shortest_queue;
   double shortest = std::numeric_limits<double>::max();
   for (auto& [incarnation, record] : records_) {
-    if (!IsUsable(record, need, now)) continue;
-    if (need.avoid.contains(incarnation)) continue;
-    if (record.is_outlier && now < record.next_trial) continue;
+    if (!IsCandidate(incarnation, record, need, now)) continue;
     const Resources free = FreeCapacity(record);
     const double capacity = static_cast<double>(
         std::max<int64_t>(record.report.capacity.cpu_millis, 1));
@@ -245,11 +253,48 @@
     }
   }
   if (best.record == nullptr) return nullptr;
-  if (best.record->is_outlier) {
-    best.record->next_trial = now + options_.trial_interval;
-  }
   *guard = best.guard;
-  return best.record;
+  return MarkChosen(best.record, now);
+}
+
+WorkerRecord* WorkerTable::ChooseToRunAlone(const PlacementNeed& need,
+                                            Instant now, Incarnation* guard) {
+  struct Candidate {
+    Incarnation guard;
+    WorkerRecord* record = nullptr;
+    bool is_busy = false;
+    int64_t used_cpu = 0;
+  };
+  std::vector<Candidate> candidates;
+  for (auto& [incarnation, record] : records_) {
+    if (!IsCandidate(incarnation, record, need, now)) continue;
+    Resources used = record.report.used;
+    used += record.in_flight_need;
+    const bool is_busy = used != Resources{} || record.report.queued_work > 0;
+    candidates.push_back({incarnation, &record, is_busy, used.cpu_millis});
+  }
+  if (candidates.empty()) return nullptr;
+  std::shuffle(candidates.begin(), candidates.end(), random_);
+  const auto best =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [](const Candidate& a, const Candidate& b) {
+                         return std::pair(a.is_busy, a.used_cpu) <
+                                std::pair(b.is_busy, b.used_cpu);
+                       });
+  *guard = best->guard;
+  return MarkChosen(best->record, now);
+}
+
+WorkerRecord* WorkerTable::MarkChosen(WorkerRecord* record, Instant now) const {
+  if (record->is_outlier) record->next_trial = now + options_.trial_interval;
+  return record;
+}
+
+size_t WorkerTable::CountConnected() const {
+  return static_cast<size_t>(
+      std::count_if(records_.begin(), records_.end(), [](const auto& item) {
+        return item.second.is_connected && !item.second.report.service.empty();
+      }));
 }
 
 int64_t WorkerTable::ServingCpu(const std::string& service, Instant now) const {
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -95,6 +95,13 @@
   // set, none has a short enough queue.
   WorkerRecord* Choose(const PlacementNeed& need, bool free_capacity_only,
                        Instant now, Incarnation* guard);
+  // Chooses the worker for a task that runs alone: an idle one, or else the one
+  // that uses least. Its capacity in use may be any, as the guard lets the
+  // other runs end first.
+  WorkerRecord* ChooseToRunAlone(const PlacementNeed& need, Instant now,
+                                 Incarnation* guard);
+
+  size_t CountConnected() const;
   // Total processors of the workers that serve `service` now, outliers
   // excluded, in thousandths of a core.
   int64_t ServingCpu(const std::string& service, Instant now) const;
@@ -114,6 +121,10 @@
  private:
   bool IsUsable(const WorkerRecord& record, const PlacementNeed& need,
                 Instant now) const;
+  // Whether a worker can be chosen for the task, its free capacity aside.
+  bool IsCandidate(Incarnation guard, const WorkerRecord& record,
+                   const PlacementNeed& need, Instant now) const;
+  WorkerRecord* MarkChosen(WorkerRecord* record, Instant now) const;
   bool IsFresh(const WorkerRecord& record, Instant now) const;
   static void MergeReport(WorkerRecord* record, const RunReport& report);
   // 0 for the rack of the task's data; 1 for the entry's own zone while the
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -517,6 +517,229 @@
   EXPECT_EQ(answers_[1].reason, Reason::kNoSuchQueue);
 }
 
+class CrashingTaskTest : public JobSchedulerTest {
+ protected:
+  static constexpr uint64_t kFirstGuard = 101;
+  static constexpr uint64_t kGuards = 4;
+
+  void ConnectGuards() {
+    for (uint64_t i = 0; i < kGuards; ++i) {
+      ConnectGuard(Incarnation{kFirstGuard + i}, 0);
+    }
+  }
+
+  // Lets all guards report, and a timer event pass.
+  void ReportAll(int64_t ms) {
+    for (uint64_t i = 0; i < kGuards; ++i) {
+      RunReport report = MakeReport(static_cast<uint64_t>(ms));
+      report.seen_order = UINT64_MAX;
+      scheduler_.OnReport(Incarnation{kFirstGuard + i}, report, At(ms));
+    }
+    scheduler_.OnTimer(At(ms));
+    CollectActions(ms);
+  }
+
+  // The guard of the last order tells that its worker refuses connections.
+  void LoseLast(int64_t ms) {
+    ReportEnd(orders_.size() - 1, RunOutcome::kLost, ms, Reason::kWorkerDown);
+  }
+
+  // The guard tells what became of its worker.
+  void Tell(Incarnation guard, bool has_crashed,
+            const std::vector<std::string>& tasks, int64_t ms,
+            uint64_t started_at = 1000) {
+    RunReport report = MakeReport(static_cast<uint64_t>(ms));
+    report.seen_order = UINT64_MAX;
+    report.worker_losses = {{started_at, has_crashed, tasks}};
+    scheduler_.OnReport(guard, report, At(ms));
+    CollectActions(ms);
+  }
+
+  // The worker of the last order crashes under a task, and its guard tells so.
+  void CrashLast(const std::vector<std::string>& tasks, int64_t ms) {
+    const Incarnation guard = orders_.back().first;
+    RunReport report = MakeReport(2);
+    report.worker_losses = {{1000, true, tasks}};
+    ReportEnd(orders_.size() - 1, RunOutcome::kLost, ms, Reason::kWorkerDown,
+              report);
+    crashed_.push_back(guard);
+  }
+
+  std::vector<Incarnation> crashed_;
+};
+
+// Guards against a task that crashes one worker after the other: it runs alone
+// after the first crash and is given up after the second.
+TEST_F(CrashingTaskTest, ADeadlyTaskIsGivenUpAfterTwoCrashes) {
+  ConnectGuards();
+  Submit(1, MakeJob("a.b", 1), 10);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_FALSE(orders_[0].second.must_run_alone);
+  CrashLast({"a.b.0.0.0", "other.0.0.0"}, 50);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_TRUE(orders_[1].second.must_run_alone);
+  EXPECT_GT(orders_[1].second.attempt, orders_[0].second.attempt);
+  EXPECT_NE(orders_[1].first, orders_[0].first);
+  EXPECT_TRUE(answers_.empty());
+  CrashLast({"a.b.0.0.0"}, 90);
+  EXPECT_EQ(orders_.size(), 2U);
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
+  EXPECT_EQ(answers_[1].reason, Reason::kCrashesWorkers);
+}
+
+// Guards against runs that go on for a job that was given up.
+TEST_F(CrashingTaskTest, TheOtherRunsOfAConvictedJobAreStopped) {
+  ConnectGuards();
+  Submit(1, MakeJob("a", 2), 10);
+  ASSERT_EQ(orders_.size(), 2U);
+  const std::string deadly = orders_[1].second.task;
+  CrashLast({deadly, "other.0.0.0"}, 50);
+  ASSERT_EQ(orders_.size(), 3U);
+  CrashLast({deadly}, 90);
+  EXPECT_EQ(answers_[1].reason, Reason::kCrashesWorkers);
+  EXPECT_EQ(stops_, std::vector<uint64_t>{orders_[0].second.number});
+}
+
+// Guards against a deadly task whose job is sent again to another entry, as
+// after the loss of its answer, and starts again there.
+TEST_F(CrashingTaskTest, AJobThatArrivesWithAConvictedTaskIsAnsweredAtOnce) {
+  ConnectGuards();
+  Tell(Incarnation{101}, true, {"a.0.0.1", "other.0.0.0"}, 5);
+  Tell(Incarnation{102}, true, {"a.0.0.1"}, 6);
+  Submit(1, MakeJob("a", 2), 10);
+  EXPECT_TRUE(orders_.empty());
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
+  EXPECT_EQ(answers_[1].reason, Reason::kCrashesWorkers);
+  // A neighbour in the first crash is not guilty.
+  Submit(2, MakeJob("other", 1), 20);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_TRUE(orders_[0].second.must_run_alone);
+}
+
+// Guards against a third worker that crashes while it is not yet known whether
+// the first two did.
+TEST_F(CrashingTaskTest, ATaskIsOnHoldUntilTheLossesAreResolved) {
+  ConnectGuards();
+  Submit(1, MakeJob("a", 1), 10);
+  LoseLast(50);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_TRUE(orders_[1].second.must_run_alone);
+  LoseLast(90);
+  for (int64_t ms = 100; ms < 1000; ms += 100) ReportAll(ms);
+  ASSERT_EQ(orders_.size(), 2U);
+  Tell(orders_[1].first, true, {"a.0.0.0"}, 1010);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_TRUE(answers_.empty());
+  Tell(orders_[0].first, true, {"a.0.0.0", "other.0.0.0"}, 1020);
+  EXPECT_EQ(orders_.size(), 2U);
+  EXPECT_EQ(answers_[1].reason, Reason::kCrashesWorkers);
+}
+
+// Guards against a sound task that is given up, or kept waiting, because
+// workers were cut off or left as announced.
+TEST_F(CrashingTaskTest, ATaskGoesOnOnceALossIsRefuted) {
+  ConnectGuards();
+  Submit(1, MakeJob("a", 1), 10);
+  LoseLast(50);
+  LoseLast(90);
+  ASSERT_EQ(orders_.size(), 2U);
+  Tell(orders_[1].first, false, {"a.0.0.0"}, 200);
+  ASSERT_EQ(orders_.size(), 3U);
+  EXPECT_TRUE(orders_[2].second.must_run_alone);
+  Tell(orders_[0].first, false, {"a.0.0.0"}, 210);
+  LoseLast(220);
+  // All else is refuted, so that one loss is left.
+  ASSERT_EQ(orders_.size(), 4U);
+  ReportEnd(3, RunOutcome::kDone, 300);
+  EXPECT_EQ(answers_[1].state, HeldState::kComplete);
+}
+
+// Guards against a task that waits for ever: the guard that should say what
+// became of its worker was killed.
+TEST_F(CrashingTaskTest, AHoldEndsAfterALimitedTime) {
+  ConnectGuards();
+  HeldJob job = MakeJob("a", 1);
+  job.caller_timeout = Millis(60'000);
+  Submit(1, job, 10);
+  LoseLast(50);
+  LoseLast(90);
+  for (int64_t ms = 100; ms <= 10'000; ms += 100) {
+    ReportAll(ms);
+    ASSERT_EQ(orders_.size(), 2U) << ms;
+  }
+  ReportAll(10'100);
+  EXPECT_EQ(orders_.size(), 3U);
+}
+
+// A hold lasts no longer than the caller waits, and the answer says that a part
+// of the job may have run.
+TEST_F(CrashingTaskTest, AJobOnHoldEndsAtItsDeadlineOrWhenItsCallerLeaves) {
+  ConnectGuards();
+  Submit(1, MakeJob("a", 1), 10);
+  LoseLast(50);
+  LoseLast(90);
+  Submit(2, MakeJob("b", 1), 100);
+  LoseLast(110);
+  LoseLast(120);
+  ASSERT_EQ(orders_.size(), 4U);
+  scheduler_.OnCallerLeft(2, At(200));
+  for (int64_t ms = 300; ms <= 5000; ms += 100) ReportAll(ms);
+  EXPECT_TRUE(answers_.empty());
+  ReportAll(5010);
+  ASSERT_TRUE(answers_.contains(1));
+  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
+  EXPECT_EQ(answers_[1].reason, Reason::kGivenUpRunning);
+  EXPECT_EQ(scheduler_.held_jobs(), 0U);
+  // The holds have ended with the jobs.
+  ReportAll(5100);
+  ReportAll(11'000);
+  EXPECT_EQ(orders_.size(), 4U);
+}
+
+// Guards against a partition that makes tasks suspect.
+TEST_F(CrashingTaskTest, ATaskOfASilentWorkerIsNoSuspect) {
+  ConnectGuards();
+  Submit(1, MakeJob("a", 1), 10);
+  ReportEnd(0, RunOutcome::kLost, 50, Reason::kWorkerLost);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_FALSE(orders_[1].second.must_run_alone);
+}
+
+// Guards against a fleet that stands still after one crash: suspects need a
+// worker each, and other tasks must not wait for them.
+TEST_F(CrashingTaskTest, SuspectsRunOneAtATimeAndOtherTasksPassThem) {
+  ConnectGuards();
+  std::vector<std::string> suspects(12);
+  for (size_t i = 0; i < suspects.size(); ++i) {
+    suspects[i] = "s" + std::to_string(i) + ".0.0.0";
+  }
+  Tell(Incarnation{101}, true, suspects, 5);
+  for (uint64_t i = 0; i < 12; ++i) {
+    Submit(i + 1, MakeJob("s" + std::to_string(i), 1), 10);
+  }
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_TRUE(orders_[0].second.must_run_alone);
+  Submit(50, MakeJob("sound", 1, 4000, 1000), 20);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_EQ(orders_[1].second.task, "sound.0.0.0");
+  EXPECT_FALSE(orders_[1].second.must_run_alone);
+  EXPECT_NE(orders_[1].first, orders_[0].first);
+  // The next suspect follows when the first has ended.
+  ReportEnd(0, RunOutcome::kDone, 60);
+  ASSERT_EQ(orders_.size(), 3U);
+  EXPECT_TRUE(orders_[2].second.must_run_alone);
+}
+
+// With more workers more suspects run at a time.
+TEST_F(CrashingTaskTest, TheLimitOfSuspectsRisesWithTheWorkers) {
+  for (uint64_t i = 0; i < 33; ++i) ConnectGuard(Incarnation{101 + i}, 0);
+  Tell(Incarnation{101}, true, {"a.0.0.0", "a.0.0.1", "a.0.0.2"}, 5);
+  Submit(1, MakeJob("a", 3), 10);
+  EXPECT_EQ(orders_.size(), 2U);
+}
+
 // Guards against a job that fails as impossible because the capacity of the
 // workers is small when it arrives.
 TEST_F(JobSchedulerTest, AJobWaitsWhileTheCapacityIsSmall) {
--- a/tests/worker_table_test.cc
+++ b/tests/worker_table_test.cc
@@ -159,6 +159,7 @@
   need.resources = {3000, 64, 0};
   Incarnation guard;
   EXPECT_EQ(table_.Choose(need, false, At(0), &guard), nullptr);
+  EXPECT_EQ(table_.ChooseToRunAlone(need, At(0), &guard), nullptr);
   EXPECT_EQ(table_.ServingCpu("svc", At(0)), 0);
   EXPECT_TRUE(table_.LacksOffer(need));
 }
@@ -180,5 +181,45 @@
   EXPECT_TRUE(table_.CouldEverRun(need));
 }
 
+TEST_F(WorkerTableTest, ATaskThatRunsAlonePrefersAnIdleWorker) {
+  PlacementNeed need;
+  need.service = "svc";
+  need.resources = {3000, 64, 0};
+  for (int i = 0; i < 6; ++i) Report(i, MakeReport(1, i == 3 ? 0 : 4000));
+  for (int i = 0; i < 20; ++i) {
+    Incarnation guard;
+    ASSERT_NE(table_.ChooseToRunAlone(need, At(0), &guard), nullptr);
+    EXPECT_EQ(guard, Incarnation{103});
+  }
+  // If no worker is idle, the one that uses least is chosen, even if the task
+  // does not fit beside what runs there.
+  for (int i = 0; i < 6; ++i) {
+    Report(i, MakeReport(2, i == 2 ? 31'000 : 32'000));
+  }
+  Incarnation guard;
+  ASSERT_NE(table_.ChooseToRunAlone(need, At(0), &guard), nullptr);
+  EXPECT_EQ(guard, Incarnation{102});
+}
+
+// Guards against tasks sent to wait behind a run that is alone on its worker.
+TEST_F(WorkerTableTest, AnOrderThatRunsAloneOccupiesTheWholeWorker) {
+  Report(0, MakeReport(1));
+  RunOrder order;
+  order.number = 1;
+  order.need = {3000, 64, 0};
+  order.estimate = Millis(100);
+  order.must_run_alone = true;
+  WorkerTable::OnOrderSent(table_.Find(Incarnation{100}), order);
+  PlacementNeed need;
+  need.service = "svc";
+  need.resources = {3000, 64, 0};
+  Incarnation guard;
+  EXPECT_EQ(table_.Choose(need, false, At(0), &guard), nullptr);
+  RunReport report = MakeReport(2);
+  report.seen_order = 1;
+  Report(0, report);
+  EXPECT_NE(table_.Choose(need, false, At(0), &guard), nullptr);
+}
+
 }  // namespace
 }  // namespace qs::test
