--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -101,11 +101,18 @@
   // set, none has a short enough queue.
   WorkerRecord* Choose(const PlacementNeed& need, bool free_capacity_only,
                        Instant now, Incarnation* guard);
+  // Chooses the worker for a task that runs alone: an idle one, or else the one
+  // that uses least. Its capacity in use may be any, as the guard lets the
+  // other runs end first.
+  WorkerRecord* ChooseToRunAlone(const PlacementNeed& need, Instant now,
+                                 Incarnation* guard);
 
+  size_t CountConnected() const;
   // Total processors of the workers that serve `service` now, outliers
   // excluded, in thousandths of a core.
   int64_t ServingCpu(const std::string& service, Instant now) const;
-  // Whether some worker that ever reported to this entry could run the task.
+  // Whether some worker that ever reported to this entry could run the task, or
+  // might: of one that has no capacity now, the usual capacity is not known.
   bool CouldEverRun(const PlacementNeed& need) const;
   // Whether workers are connected now and none of them could run the task, even
   // with all its capacity free. False if no worker is connected.
@@ -120,6 +127,10 @@
  private:
   bool IsUsable(const WorkerRecord& record, const PlacementNeed& need,
                 Instant now) const;
+  // Whether a worker can be chosen for the task, its free capacity aside.
+  bool IsCandidate(Incarnation guard, const WorkerRecord& record,
+                   const PlacementNeed& need, Instant now) const;
+  WorkerRecord* MarkChosen(WorkerRecord* record, Instant now) const;
   bool IsFresh(const WorkerRecord& record, Instant now) const;
   static void MergeReport(WorkerRecord* record, const RunReport& report);
   // 0 for the rack of the task's data; 1 for the entry's own zone while the
@@ -138,16 +149,16 @@
   WorkerTableOptions options_;
   std::minstd_rand random_;
   // What some worker has offered. Kept after the worker disconnects, because it
-  // may reconnect.
+  // may reconnect, and after its capacity shrinks, because it may grow again.
   struct Offer {
     std::string service;
     Resources capacity;
     std::vector<std::string> labels;
-    bool operator==(const Offer&) const = default;
   };
+  void AddOffer(Offer offer);
 
   Map records_;
-  std::vector<Offer> offers_;
+  std::vector<Offer> offers_;  // None fits in another of the same kind.
 };
 
 }  // namespace qs
