Check deadly tasks and changing capacity in the simulation of held jobs

Change: a case draws tasks that crash each worker that runs them, and whether workers refuse what does not fit. A fault changes announced capacities. The checker notes crashes under each task. A job may be given up only after two crashes under one of its tasks, which was alone in one; a task is started at most twice after three crashes; no start exceeds the capacities announced in the last 4.5 s, or, where a case has no other fault, 20 ms. Without other faults a deadly task is not started again after two crashes, and its caller hears so within 500 ms from when its guards can tell.

--- a/tests/held_property_test.cc
+++ b/tests/held_property_test.cc
@@ -32,6 +32,18 @@
 constexpr int64_t kFaultsEnd = 6'000;  // No fault begins after this.
 constexpr int64_t kEnd = 16'000;
 constexpr int64_t kCapacity = 16'000;
+constexpr int64_t kTaskCpu = 4000;
+// A start may still count on a capacity for so long after the guard has been
+// told that it has shrunk: a worker's machine has to be in touch for 3 s, and
+// an announcement may be one and a half intervals away.
+constexpr int64_t kCapacityAllowance = 4'500;
+// The same where no call is held up: a start that was sent in the last tick.
+constexpr int64_t kPromptAllowance = 2 * kTick;
+// Until the caller knows that its job is given up, from the time when the last
+// of the guards can tell that its worker crashed.
+constexpr int64_t kGiveUpWithin = 500;
+// A start call is not carried out later than this, as its deadline has passed.
+constexpr int64_t kLongestStart = 1'100;
 constexpr int64_t kSubmitEvery = 50;
 constexpr int kJobs = 120;
 // Delay before a caller sends its job again after it has lost the answer.
@@ -59,6 +71,7 @@
   kEntriesKilled,    // In series.
   kOldAnnouncement,  // An earlier incarnation of the worker announces itself.
   kWorkerCut,        // Calls get no answer while the worker runs on.
+  kCapacityChanges,  // Shrinks, also to nothing, and grows again.
   // The following suggest that a run or a worker has ended that goes on.
   kWorkerRefuses,  // Connections to the running worker are refused.
   // A kept connection ends with a call that is carried out late; its second
@@ -69,15 +82,16 @@
 constexpr int kFirstMisleadingFault =
     static_cast<int>(FaultKind::kWorkerRefuses);
 
-constexpr std::array<std::string_view, 24> kFaultNames = {
-    "guard_killed",      "entry_killed",        "guard_frozen",
-    "entry_frozen",      "link_silent",         "link_reset",
-    "worker_crash",      "calls_lossy",         "worker_slow",
-    "starts_unanswered", "stops_unanswered",    "polls_unanswered",
-    "guard_silent",      "entry_silent",        "brief_silence",
-    "half_closed",       "callers_reset",       "guards_killed",
-    "entries_killed",    "old_announcement",    "worker_cut",
-    "worker_refuses",    "second_copy_refused", "late_withdrawal"};
+constexpr std::array<std::string_view, 25> kFaultNames = {
+    "guard_killed",      "entry_killed",     "guard_frozen",
+    "entry_frozen",      "link_silent",      "link_reset",
+    "worker_crash",      "calls_lossy",      "worker_slow",
+    "starts_unanswered", "stops_unanswered", "polls_unanswered",
+    "guard_silent",      "entry_silent",     "brief_silence",
+    "half_closed",       "callers_reset",    "guards_killed",
+    "entries_killed",    "old_announcement", "worker_cut",
+    "capacity_changes",  "worker_refuses",   "second_copy_refused",
+    "late_withdrawal"};
 
 // A target from here on stands for all workers, or for all entries.
 constexpr int kAllTargets = 6;
@@ -95,6 +109,36 @@
              << fault.target << " length " << fault.length << "}";
 }
 
+// A task that crashes each worker that runs it.
+struct DeadlyTask {
+  int job = 0;
+  uint32_t task = 0;  // Modulo the tasks of the job.
+};
+
+std::ostream& operator<<(std::ostream& out, const DeadlyTask& deadly) {
+  return out << "{job " << deadly.job << " task " << deadly.task << "}";
+}
+
+// What holds for all of a case, besides its faults.
+struct Conditions {
+  std::vector<DeadlyTask> deadly;
+  // Whether workers refuse what does not fit. Otherwise they start it.
+  bool is_capacity_enforced = false;
+  // No task ends as failed.
+  bool is_sound = false;
+  // Nothing keeps guards and entries from what they have to do: they are held
+  // to it without any allowance.
+  bool is_calm = false;
+};
+
+std::string JobOf(const std::string& task) {
+  return task.substr(0, task.find('.'));
+}
+
+uint32_t TasksOf(const std::string& job) {
+  return 1 + static_cast<uint32_t>(job.size() % 3);
+}
+
 enum CallKind : uint8_t { kStart, kStop, kPoll, kCallKinds };
 
 // A simulated worker. It identifies runs by task name and attempt.
@@ -102,7 +146,7 @@
   struct Run {
     int64_t began_at = 0;
     int64_t ends_at = 0;
-    int64_t cpu = 4000;
+    int64_t cpu = kTaskCpu;
   };
   // Time of its clock at `clock_began_at`, and its speed in thousandths.
   int64_t clock_base = 0;
@@ -119,6 +163,35 @@
   // Highest attempt that ended or was stopped, by task.
   std::map<std::string, uint32_t> highest_attempt;
   std::vector<PollReply::Ended> ended;
+  // When a start of the task was last sent to this incarnation.
+  std::map<std::string, int64_t> start_sent_at;
+};
+
+// The capacity of a worker, which outlasts its incarnation.
+struct CapacityHistory {
+  int64_t present = kCapacity;
+  // What its guard was told, with the times.
+  std::vector<std::pair<int64_t, int64_t>> announced;
+
+  // The most that a start at `now` may count on.
+  int64_t Allowed(int64_t now, int64_t allowance) const {
+    int64_t most = 0;
+    for (auto told = announced.rbegin(); told != announced.rend(); ++told) {
+      most = std::max(most, told->second);
+      if (told->first <= now - allowance) break;
+    }
+    return most;
+  }
+};
+
+// A crash of a worker under a task.
+struct Crash {
+  int64_t at = 0;
+  int64_t back_at = 0;  // When the guard hears of the next incarnation.
+  // Otherwise the guard could not know that the task was not there: its start
+  // was on its way, or its end had not been taken note of.
+  bool was_running = false;
+  bool was_alone = false;  // No other task ran there.
 };
 
 // Faults of a worker, or of the way to it, that outlast its incarnation.
@@ -166,8 +239,14 @@
 class Simulation {
  public:
   // `trace`, if any, receives what happens, one line each.
-  explicit Simulation(uint32_t seed, const ProcessLog::Trace& trace = {})
-      : random_(seed) {
+  explicit Simulation(uint32_t seed, Conditions conditions = {},
+                      const ProcessLog::Trace& trace = {})
+      : conditions_(std::move(conditions)), random_(seed) {
+    for (const DeadlyTask& deadly : conditions_.deadly) {
+      const std::string job = "j" + std::to_string(deadly.job);
+      deadly_.insert(job + ".0.0." +
+                     std::to_string(deadly.task % TasksOf(job)));
+    }
     if (trace) {
       trace_ = [this, trace](const std::string& line) {
         trace(std::to_string(now_) + " " + line);
@@ -197,6 +276,7 @@
       for (int i = 0; i < kEntries; ++i) StepEntry(i);
       for (auto& [id, caller] : callers_) StepCaller(id, &caller);
     }
+    if (conditions_.is_calm) CheckGivenUpInTime();
   }
 
   // The last violation of a guarantee that was found; empty if there was none.
@@ -205,6 +285,7 @@
   std::string violated_task;
   int answered = 0;
   int completed = 0;
+  int given_up = 0;  // Jobs that crash workers.
 
   bool AllAnswered() const {
     for (const auto& [id, caller] : callers_) {
@@ -248,6 +329,8 @@
     bool is_waiting = false;
     bool is_over = false;
     int64_t give_up_at = 0;
+    int64_t over_at = 0;
+    Reason reason = Reason::kNone;  // Of the answer.
     int sends = 0;
   };
 
@@ -306,10 +389,11 @@
 
   void AnnounceAs(int i, uint64_t incarnation) {
     WorkerAnnouncement announcement =
-        MakeAnnouncement(incarnation, ++announcements_, kCapacity);
+        MakeAnnouncement(incarnation, ++announcements_, capacities_[i].present);
     announcement.incarnation.id = "w" + std::to_string(i);
     announcement.worker_clock = Millis(ClockOf(workers_[i]));
     guards_[i].supervisor->OnAnnouncement(announcement, Now());
+    capacities_[i].announced.emplace_back(now_, capacities_[i].present);
   }
 
   void StartEntry(int i) {
@@ -507,6 +591,7 @@
       });
     };
     if (auto* start = std::get_if<SendStart>(&action)) {
+      workers_[i].start_sent_at[start->call.task] = now_;
       auto reply = std::make_shared<WorkerReply>();
       if (fate.refusal) reply->verdict = *fate.refusal;
       if (is_carried_out) {
@@ -592,18 +677,52 @@
       reply.verdict = WorkerVerdict::kStaleAttempt;
       return reply;
     }
+    const int64_t needed = UsedCapacity(worker) + kTaskCpu;
+    if (conditions_.is_capacity_enforced && needed > capacities_[i].present) {
+      reply.verdict = WorkerVerdict::kNoCapacity;
+      return reply;
+    }
     CheckStart(i, call.task);
-    const int64_t length = now_ < worker_faults_[i].slow_until
-                               ? 500 + RandomBelow(5'500)
-                               : 40 + RandomBelow(160);
-    worker.running[key] = {now_, now_ + length, 4000};
+    int64_t length = now_ < worker_faults_[i].slow_until
+                         ? 500 + RandomBelow(5'500)
+                         : 40 + RandomBelow(160);
+    if (deadly_.contains(call.task)) {
+      length = kEnd;
+      ScheduleCrash(i, key);
+    }
+    worker.running[key] = {now_, now_ + length, kTaskCpu};
     Note("worker" + std::to_string(i) + " started task=" + call.task +
          " attempt=" + std::to_string(call.attempt) + " for " +
          std::to_string(length));
+    const int64_t allowance =
+        conditions_.is_calm ? kPromptAllowance : kCapacityAllowance;
+    if (needed > capacities_[i].Allowed(now_, allowance)) {
+      Violate(call.task, "a worker is over its capacity with " + call.task);
+    }
+    return reply;
+  }
+
+  static int64_t UsedCapacity(const SimWorker& worker) {
     int64_t used = 0;
     for (const auto& [name, run] : worker.running) used += run.cpu;
-    if (used > kCapacity) violation = "a worker is over its capacity";
-    return reply;
+    return used;
+  }
+
+  // The worker crashes soon, unless the run has ended by then.
+  void ScheduleCrash(int i, const std::pair<std::string, uint32_t>& run) {
+    Schedule(5 + RandomBelow(95),
+             [this, i, run, incarnation = workers_[i].incarnation] {
+               const SimWorker& worker = workers_[i];
+               if (worker.incarnation != incarnation) return;
+               if (!worker.running.contains(run)) return;
+               RestartWorker(i, 500 + RandomBelow(3'500));
+             });
+  }
+
+  void Violate(const std::string& task, const std::string& what) {
+    violation = what;
+    violated_task = task;
+    Note("VIOLATION " + violation);
   }
 
   // Checks that a task which starts is not already running on a worker, and
@@ -613,21 +732,59 @@
       if (!workers_[other].is_up) continue;
       for (const auto& [key, run] : workers_[other].running) {
         if (key.first == task) {
-          violation = task + " runs on worker " + std::to_string(other) +
-                      " and starts on " + std::to_string(i) + " at " +
-                      std::to_string(now_);
-          violated_task = task;
-          Note("VIOLATION " + violation);
+          Violate(task, task + " runs on worker " + std::to_string(other) +
+                            " and starts on " + std::to_string(i) + " at " +
+                            std::to_string(now_));
         }
       }
     }
-    const std::string id = task.substr(0, task.find('.'));
+    const std::string id = JobOf(task);
     if (refused_.contains(id)) {
-      violation = id + " starts after its refusal";
-      violated_task = task;
-      Note("VIOLATION " + violation);
+      Violate(task, id + " starts after its refusal");
     }
     started_.insert(id);
+    CheckStartAfterCrashes(task);
+  }
+
+  // Checks that no task crashes one worker after another.
+  void CheckStartAfterCrashes(const std::string& task) {
+    int crashes = 0;
+    for (const Crash& crash : crashes_[task]) crashes += crash.was_running;
+    if (conditions_.is_calm && crashes >= 2) {
+      Violate(task, task + " starts though two workers crashed under it");
+    }
+    if (crashes >= 3 && ++starts_after_three_[task] > 2) {
+      Violate(task, task + " starts again and again after three crashes");
+    }
+  }
+
+  // Checks that two workers crashed under a task of the job, and that it was
+  // alone with one of them.
+  void CheckGivenUp(const std::string& job) {
+    for (uint32_t i = 0; i < TasksOf(job); ++i) {
+      int alone = 0;
+      const auto& crashes = crashes_[job + ".0.0." + std::to_string(i)];
+      for (const Crash& crash : crashes) alone += crash.was_alone;
+      if (crashes.size() >= 2 && alone > 0) return;
+    }
+    Violate(job + ".0.0.0", job + " is given up for crashes it did not cause");
+  }
+
+  // Checks that callers of deadly tasks were told so as soon as guards knew.
+  void CheckGivenUpInTime() {
+    for (const std::string& task : deadly_) {
+      const auto& crashes = crashes_[task];
+      if (crashes.size() < 2) continue;
+      const Caller& caller = callers_[JobOf(task)];
+      const int64_t known_at = std::max(crashes[0].back_at, crashes[1].back_at);
+      if (caller.over_at < known_at) continue;
+      const bool is_late = caller.over_at > known_at + kGiveUpWithin;
+      if (is_late || (caller.over_at != caller.give_up_at &&
+                      caller.reason != Reason::kCrashesWorkers)) {
+        Violate(task, task + " is not given up by " +
+                          std::to_string(known_at + kGiveUpWithin));
+      }
+    }
   }
 
   WorkerReply CarryOutStop(int i, const StopCall& call) {
@@ -691,9 +848,10 @@
         if (ClockOf(worker) >= worker.lease_until) {
           run = EndRun(&worker, run, RunEnding::kInterrupted);
         } else if (now_ >= run->second.ends_at) {
-          run = EndRun(
-              &worker, run,
-              RandomBelow(30) == 0 ? RunEnding::kFailed : RunEnding::kDone);
+          run = EndRun(&worker, run,
+                       RandomBelow(30) == 0 && !conditions_.is_sound
+                           ? RunEnding::kFailed
+                           : RunEnding::kDone);
         } else {
           ++run;
         }
@@ -715,6 +873,7 @@
     if (caller->is_over) return;
     if (now_ >= caller->give_up_at) {
       caller->is_over = true;
+      caller->over_at = caller->give_up_at;
       if (caller->is_waiting) AbandonJob(caller);
       return;
     }
@@ -725,8 +884,7 @@
     ++caller->sends;
     Entry& entry = entries_[caller->entry];
     entry.job_of_caller[caller->number] = id;
-    HeldJob job =
-        MakeJob(id, 1 + static_cast<uint32_t>(id.size() % 3), 4000, 100);
+    HeldJob job = MakeJob(id, TasksOf(id), kTaskCpu, 100);
     job.caller_timeout = Millis(caller->give_up_at - now_);
     entry.scheduler->OnJob(caller->number, std::move(job), Now(), Now());
   }
@@ -761,7 +919,18 @@
     }
     caller.is_waiting = false;
     caller.is_over = true;
+    caller.over_at = now_;
+    caller.reason = answer.reason;
     ++answered;
+    if (answer.reason == Reason::kCrashesWorkers) {
+      ++given_up;
+      CheckGivenUp(id);
+      if (answer.state != HeldState::kFailed) {
+        violation = id + " is given up and not shown as failed";
+      }
+    } else if (answer.state == HeldState::kFailed && conditions_.is_sound) {
+      violation = id + " failed though no task did";
+    }
     if (answer.state == HeldState::kRefused) {
       refused_.insert(id);
       // The check covers jobs that were sent once. An earlier send of the same
@@ -773,8 +942,7 @@
     }
     if (answer.state == HeldState::kComplete) {
       ++completed;
-      const uint32_t tasks = 1 + static_cast<uint32_t>(id.size() % 3);
-      for (uint32_t task = 0; task < tasks; ++task) {
+      for (uint32_t task = 0; task < TasksOf(id); ++task) {
         if (!done_.contains(id + ".0.0." + std::to_string(task))) {
           violation = id + " is complete though a task is not done";
         }
@@ -784,7 +952,28 @@
 
   // Faults.
 
+  // Notes what ran, or may have run as far as the guard can know.
+  void NoteCrash(int i, int64_t back_at) {
+    const SimWorker& worker = workers_[i];
+    std::set<std::string> running;
+    for (const auto& [key, run] : worker.running) running.insert(key.first);
+    std::set<std::string> tasks = running;
+    for (const auto& ended : worker.ended) tasks.insert(ended.task);
+    for (const auto& [task, sent_at] : worker.start_sent_at) {
+      const bool has_ended = worker.highest_attempt.contains(task);
+      if (!has_ended && sent_at > now_ - kLongestStart) tasks.insert(task);
+    }
+    for (const std::string& task : tasks) {
+      const bool was_running = running.contains(task);
+      const bool was_alone = running.size() == (was_running ? 1 : 0);
+      crashes_[task].push_back({now_, back_at, was_running, was_alone});
+      Note("worker" + std::to_string(i) + " crashed under task=" + task +
+           (was_running ? " running" : "") + (was_alone ? " alone" : ""));
+    }
+  }
+
   void RestartWorker(int i, int64_t after) {
+    if (workers_[i].is_up) NoteCrash(i, now_ + after);
     const uint64_t incarnation = workers_[i].incarnation + 1;
     workers_[i] = SimWorker();
     workers_[i].incarnation = incarnation;
@@ -841,6 +1030,20 @@
     }
   }
 
+  // In some steps, the last of which restores it.
+  void ChangeCapacity(int i, int64_t length) {
+    const int64_t steps = 1 + RandomBelow(4);
+    for (int64_t step = 0; step < steps; ++step) {
+      const int64_t capacity = kTaskCpu * RandomBelow(6);
+      Schedule(length * step / steps, [this, i, capacity] {
+        capacities_[i].present = capacity;
+        Note("worker" + std::to_string(i) + " has capacity " +
+             std::to_string(capacity));
+      });
+    }
+    Schedule(length, [this, i] { capacities_[i].present = kCapacity; });
+  }
+
   static std::vector<int> WorkersOf(const Fault& fault) {
     if (fault.target >= kAllTargets) return {0, 1, 2};
     return {fault.target % kWorkers};
@@ -923,6 +1126,9 @@
           worker_faults_[w].cut_until = now_ + fault.length;
         }
         return;
+      case FaultKind::kCapacityChanges:
+        for (const int w : WorkersOf(fault)) ChangeCapacity(w, fault.length);
+        return;
       case FaultKind::kWorkerRefuses:
         for (const int w : WorkersOf(fault)) {
           worker_faults_[w].refuses_until = now_ + fault.length;
@@ -980,6 +1186,7 @@
     }
   }
 
+  Conditions conditions_;
   std::mt19937 random_;
   int64_t now_ = 0;
   Observer observer_;
@@ -997,6 +1204,10 @@
   std::set<std::string> started_;
   std::set<std::string> refused_;
   std::set<std::string> done_;
+  std::set<std::string> deadly_;
+  CapacityHistory capacities_[kWorkers];
+  std::map<std::string, std::vector<Crash>> crashes_;
+  std::map<std::string, int> starts_after_three_;
   uint64_t incarnations_ = 0;
   uint64_t sessions_ = 0;
   uint64_t announcements_ = 0;
@@ -1012,10 +1223,7 @@
   return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(min, max));
 }
 
-rc::Gen<std::vector<Fault>> Faults(int kinds) {
-  const auto kind = rc::gen::map(Within<int>(0, kinds), [](int index) {
-    return static_cast<FaultKind>(index);
-  });
+rc::Gen<std::vector<Fault>> FaultsFrom(const rc::Gen<FaultKind>& kind) {
   const auto fault = rc::gen::build<Fault>(
       rc::gen::set(&Fault::at, Within<int64_t>(200, kFaultsEnd)),
       rc::gen::set(&Fault::kind, kind),
@@ -1039,14 +1247,29 @@
       });
 }
 
+rc::Gen<std::vector<Fault>> Faults(int kinds) {
+  return FaultsFrom(rc::gen::map(Within<int>(0, kinds), [](int index) {
+    return static_cast<FaultKind>(index);
+  }));
+}
+
+// `scale` times as many as there are faults, at most.
+rc::Gen<std::vector<DeadlyTask>> DeadlyTasks(double scale) {
+  const auto task = rc::gen::build<DeadlyTask>(
+      rc::gen::set(&DeadlyTask::job, Within(0, kJobs)),
+      rc::gen::set(&DeadlyTask::task, Within<uint32_t>(0, 3)));
+  return rc::gen::scale(scale,
+                        rc::gen::container<std::vector<DeadlyTask>>(task));
+}
+
 // Returns what happened up to the violation: what is about the violated task
 // and what is about processes and not about a task.
-std::string TraceOf(uint32_t seed, const std::vector<Fault>& faults,
-                    const std::string& task) {
-  const std::string job = task.substr(0, task.find('.'));
+std::string TraceOf(uint32_t seed, const Conditions& conditions,
+                    const std::vector<Fault>& faults, const std::string& task) {
+  const std::string job = JobOf(task);
   std::string text;
   bool is_over = false;
-  Simulation simulation(seed, [&](const std::string& line) {
+  Simulation simulation(seed, conditions, [&](const std::string& line) {
     const bool is_of_task =
         line.find("task=" + task + " ") != std::string::npos ||
         line.find("job=" + job + " ") != std::string::npos;
@@ -1060,19 +1283,27 @@
   return text;
 }
 
-void CheckGuarantees(int kinds) {
-  const auto faults = *Faults(kinds);
+void CheckSimulation(const Conditions& conditions,
+                     const std::vector<Fault>& faults) {
   const auto seed =
       *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<uint32_t>());
-  Simulation simulation(seed);
+  Simulation simulation(seed, conditions);
   simulation.Run(faults, kJobs);
   if (!simulation.violated_task.empty()) {
-    RC_LOG(TraceOf(seed, faults, simulation.violated_task));
+    RC_LOG(TraceOf(seed, conditions, faults, simulation.violated_task));
   }
   RC_ASSERT(simulation.violation == "");
   RC_ASSERT(simulation.AllAnswered());
 }
 
+void CheckGuarantees(int kinds) {
+  const auto faults = *Faults(kinds);
+  Conditions conditions;
+  conditions.deadly = *DeadlyTasks(0.15);
+  conditions.is_capacity_enforced = *rc::gen::arbitrary<bool>();
+  CheckSimulation(conditions, faults);
+}
+
 RC_GTEST_PROP(HeldPropertyTest, KeepsItsGuaranteesUnderRandomFaults, ()) {
   CheckGuarantees(kFirstMisleadingFault);
 }
@@ -1081,6 +1312,40 @@
   CheckGuarantees(static_cast<int>(kFaultNames.size()));
 }
 
+// Guards against tasks that crash one worker after another, and against sound
+// tasks that are given up for what ran beside them.
+RC_GTEST_PROP(HeldPropertyTest, OnlyDeadlyTasksAreGivenUpAfterTwoCrashes, ()) {
+  Conditions conditions;
+  conditions.is_sound = true;
+  conditions.is_calm = true;
+  conditions.deadly = *DeadlyTasks(0.4);
+  conditions.is_capacity_enforced = *rc::gen::arbitrary<bool>();
+  CheckSimulation(conditions, {});
+}
+
+// Guards against starts that count on capacity that a worker no longer has.
+RC_GTEST_PROP(HeldPropertyTest, NoStartExceedsACapacityThatShrinks, ()) {
+  Conditions conditions;
+  conditions.is_calm = true;
+  conditions.is_capacity_enforced = *rc::gen::arbitrary<bool>();
+  CheckSimulation(conditions,
+                  *FaultsFrom(rc::gen::just(FaultKind::kCapacityChanges)));
+}
+
+// Guards against a deadly task that keeps workers down and callers waiting.
+TEST(HeldPropertyTest, ADeadlyJobIsGivenUpAndTheOthersComplete) {
+  Conditions conditions;
+  conditions.is_sound = true;
+  conditions.is_calm = true;
+  conditions.deadly = {{3, 0}, {12, 0}, {12, 1}};
+  Simulation simulation(7, conditions);
+  simulation.Run({}, 40);
+  EXPECT_EQ(simulation.violation, "");
+  EXPECT_EQ(simulation.answered, 40);
+  EXPECT_EQ(simulation.given_up, 2);
+  EXPECT_EQ(simulation.completed, 38);
+}
+
 TEST(HeldPropertyTest, WithoutFaultsEveryJobIsAnsweredAndMostComplete) {
   Simulation simulation(7);
   simulation.Run({}, 40);
