Let the stand-in of a worker crash under deadly tasks and change capacity

Cause: the worker of the tests with real processes crashes only when the test says so, and its capacity never changes.

Change: the spec "300 deadly 2" makes the task with index 2 crash its worker 5 to 100 ms after the start. The worker's machine refuses connections meanwhile; it is back after 0.5 to 2.5 s, under its id or a new one, and answers calls that name another id with 421. Capacity can be changed and need not be enforced. The ledger records crashes under a task, starts after three of them, and starts over the capacity that the machine acknowledged in the last 4.5 s.

--- a/tests/lib/fake_worker.cc
+++ b/tests/lib/fake_worker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <sstream>
 
 #include "http/http_caller.h"
 
@@ -19,6 +20,16 @@
 // A call without an answer is held longer than any guard waits for one.
 constexpr Millis kUnanswered{700};
 constexpr int kNoAnswer = 504;
+constexpr int kOtherIncarnation = 421;
+// A capacity that has shrunk counts for its machine after this time: 3 s in
+// touch, and a heartbeat and a half of the platform's.
+constexpr Millis kCapacityAllowance{4500};
+// Of a deadly task, from its start to the crash.
+constexpr int64_t kSoonestCrashMs = 5;
+constexpr int64_t kLatestCrashMs = 100;
+// Until a worker is back that a deadly task took down.
+constexpr int64_t kShortestOutageMs = 500;
+constexpr int64_t kLongestOutageMs = 2500;
 
 int64_t UnixMillis() {
   return std::chrono::duration_cast<Millis>(
@@ -30,6 +41,22 @@
   return task.substr(0, task.find('.'));
 }
 
+// A spec: "RUN_MS" or "RUN_MS deadly INDEX".
+struct Spec {
+  Millis run_time{0};
+  bool is_deadly = false;
+};
+
+Spec ReadSpec(const std::string& spec, const std::string& task) {
+  std::istringstream text(spec);
+  int64_t run_time = 0;
+  std::string word;
+  std::string index;
+  text >> run_time >> word >> index;
+  return {Millis(run_time),
+          word == "deadly" && index == task.substr(task.rfind('.') + 1)};
+}
+
 }  // namespace
 
 void RunLedger::Started(const std::string& task, const std::string& run) {
@@ -39,6 +66,47 @@
   ++starts_by_job_[JobOf(task)];
   runs_by_task_[task].push_back({run, Clock::now()});
   Note(task, run, "started");
+  Crashes& crashes = crashes_by_job_[JobOf(task)][task];
+  if (crashes.running >= 3) ++crashes.starts_after_three;
+}
+
+void RunLedger::Crashed(const std::string& task, const std::string& run,
+                        bool was_running, bool was_alone) {
+  const std::lock_guard lock(mutex_);
+  ++crashes_;
+  Crashes& crashes = crashes_by_job_[JobOf(task)][task];
+  ++crashes.all;
+  crashes.running += was_running ? 1 : 0;
+  crashes.alone += was_alone ? 1 : 0;
+  Note(task, run,
+       std::string("worker crashed") + (was_running ? ", running" : "") +
+           (was_alone ? ", alone" : ""));
+}
+
+void RunLedger::StartedOverCapacity(const std::string& task,
+                                    const std::string& run) {
+  const std::lock_guard lock(mutex_);
+  ++over_capacity_;
+  Note(task, run, "OVER CAPACITY");
+}
+
+bool RunLedger::HasCrashedTwice(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  const auto& tasks = crashes_by_job_[job];
+  return std::any_of(tasks.begin(), tasks.end(), [](const auto& row) {
+    return row.second.all >= 2 && row.second.alone > 0;
+  });
+}
+
+int RunLedger::started_after_crashes() {
+  const std::lock_guard lock(mutex_);
+  int count = 0;
+  for (const auto& [job, tasks] : crashes_by_job_) {
+    for (const auto& [task, crashes] : tasks) {
+      if (crashes.starts_after_three > 2) ++count;
+    }
+  }
+  return count;
 }
 
 void RunLedger::Ended(const std::string& task, const std::string& run,
@@ -116,19 +184,20 @@
 
 FakeWorker::FakeWorker(std::string id, Address address, Address announced,
                        Address guard, int64_t cpu, RunLedger* ledger)
-    : id_(std::move(id)),
+    : name_(std::move(id)),
+      id_(name_),
       announced_(announced),
       guard_(guard),
       cpu_(cpu),
       ledger_(ledger),
       born_ms_(UnixMillis()),
-      random_(static_cast<uint32_t>(std::hash<std::string>()(id_))) {
+      random_(static_cast<uint32_t>(std::hash<std::string>()(name_))) {
   std::vector<HttpServer::Route> routes;
   const auto add = [&](const char* path, Handler handler,
                        double LateCalls::*share) {
     routes.push_back(
         {"POST", path, [this, handler, share](const HttpRequest& r) {
-           return OnCall(handler, share, json::parse(r.body));
+           return OnCall(handler, share, r);
          }});
   };
   add("/-/run-start", &FakeWorker::OnStart, &LateCalls::starts);
@@ -183,7 +252,7 @@
 }
 
 std::string FakeWorker::RunName(const Key& key) const {
-  return std::to_string(key.second) + "@" + id_;
+  return std::to_string(key.second) + "@" + name_;
 }
 
 void FakeWorker::End(const Key& key, const char* how, Instant ended) {
@@ -219,8 +288,25 @@
   Settle();
   for (const auto& [key, run] : running_) {
     ledger_->Ended(key.first, RunName(key), "crashed", Clock::now());
+    ledger_->Crashed(key.first, RunName(key), true, running_.size() == 1);
+  }
+  // The machine may not know that these were not there.
+  std::map<std::string, uint32_t> unknown;
+  for (const json& row : ended_) {
+    unknown[row.at(1).get<std::string>()] = row.at(2).get<uint32_t>();
+  }
+  for (const auto& [task, until] : put_off_) {
+    if (Clock::now() < until) unknown.emplace(task, 0);
+  }
+  for (const auto& [task, attempt] : unknown) {
+    const bool is_there = std::any_of(
+        running_.begin(), running_.end(),
+        [&name = task](const auto& row) { return row.first.first == name; });
+    if (is_there) continue;
+    ledger_->Crashed(task, RunName({task, attempt}), false, running_.empty());
   }
   running_.clear();
+  put_off_.clear();
   highest_.clear();
   ended_.clear();
   late_calls_.clear();
@@ -232,9 +318,23 @@
   changed_.notify_all();
 }
 
+void FakeWorker::Restart() {
+  const std::lock_guard lock(mutex_);
+  back_at_.reset();
+  is_down_ = false;
+}
+
 HttpResponse FakeWorker::OnCall(Handler handler, double LateCalls::*share,
-                                const json& body) {
+                                const HttpRequest& request) {
   if (is_down_) return Answer(kNoAnswer, json::object());
+  {
+    const std::lock_guard lock(mutex_);
+    const std::string id = request.header("quetzalspindle-expected-instance");
+    if (!id.empty() && id != id_) {
+      return Answer(kOtherIncarnation, json::object());
+    }
+  }
+  const json body = json::parse(request.body);
   if (!PutOff(handler, share, body)) return (this->*handler)(body);
   const Instant until = Clock::now() + kUnanswered;
   while (Clock::now() < until && !is_stopping_) {
@@ -248,6 +348,10 @@
   const std::lock_guard lock(mutex_);
   if (!std::bernoulli_distribution(late_.*share)(random_)) return false;
   const Millis delay(random_() % (late_.longest.count() + 1));
+  if (share == &LateCalls::starts) {
+    put_off_[body.at("task").get<std::string>()] =
+        Clock::now() + Millis(kLongestLeaseMs);
+  }
   late_calls_.emplace(Clock::now() + delay,
                       [this, handler, call = json(body)]() mutable {
                         call["waitMs"] = 0;
@@ -283,13 +387,22 @@
   if (key.second <= highest_[key.first]) {
     return Answer(409, {{"reason", "old"}});
   }
-  if (static_cast<int64_t>(running_.size() + 1) * kTaskCpu > cpu_) {
+  const int64_t needed = static_cast<int64_t>(running_.size() + 1) * kTaskCpu;
+  if (enforces_capacity_ && needed > cpu_) {
     return Answer(409, {{"reason", "room"}});
   }
-  const Millis length(std::stoll(body.at("spec").get<std::string>()));
-  running_[key] = {Clock::now() + length * slowness_.load()};
+  const Spec spec = ReadSpec(body.at("spec").get<std::string>(), key.first);
+  Run& run = running_[key];
+  run.ends = Clock::now() + spec.run_time * slowness_.load();
+  if (spec.is_deadly) {
+    run.crashes = Clock::now() + DrawMillis(kSoonestCrashMs, kLatestCrashMs);
+    run.ends = Instant::max();
+  }
   ++starts_;
   ledger_->Started(key.first, RunName(key));
+  if (needed > AllowedCapacity()) {
+    ledger_->StartedOverCapacity(key.first, RunName(key));
+  }
   changed_.notify_all();
   return Answer(200, json::object());
 }
@@ -316,6 +429,7 @@
   std::erase_if(ended_, [&](const json& row) {
     return row.at(0).get<uint64_t>() <= seen;
   });
+  for (const auto& [task, highest] : highest_) put_off_.erase(task);
   const Instant until = Clock::now() + Millis(body.value("waitMs", int64_t{0}));
   const int64_t incarnation = born_ms_;
   while (ended_.empty() && Clock::now() < until && !is_stopping_ && !is_down_) {
@@ -355,6 +469,8 @@
 void FakeWorker::Watch() {
   while (!is_stopping_) {
     CarryOutLateCalls();
+    CrashWhenDue();
+    ComeBack();
     {
       const std::lock_guard lock(mutex_);
       Settle();
@@ -363,22 +479,89 @@
   }
 }
 
+void FakeWorker::SetPowerHook(std::function<void(bool)> hook) {
+  const std::lock_guard lock(mutex_);
+  power_hook_ = std::move(hook);
+}
+
+Millis FakeWorker::DrawMillis(int64_t from, int64_t to) {
+  return Millis(std::uniform_int_distribution<int64_t>(from, to)(random_));
+}
+
+int64_t FakeWorker::AllowedCapacity() const {
+  const Instant since = Clock::now() - kCapacityAllowance;
+  int64_t most = 0;
+  for (auto told = acknowledged_.rbegin(); told != acknowledged_.rend();
+       ++told) {
+    most = std::max(most, told->second);
+    if (told->first <= since) break;
+  }
+  return most;
+}
+
+void FakeWorker::CrashWhenDue() {
+  std::function<void(bool)> hook;
+  {
+    const std::lock_guard lock(mutex_);
+    const Instant now = Clock::now();
+    const bool is_due =
+        std::any_of(running_.begin(), running_.end(), [&](const auto& row) {
+          return row.second.crashes && now >= *row.second.crashes;
+        });
+    if (!is_due) return;
+    back_at_ = now + DrawMillis(kShortestOutageMs, kLongestOutageMs);
+    hook = power_hook_;
+  }
+  Crash();
+  if (hook) hook(false);
+}
+
+// Every other time it has a new id.
+void FakeWorker::ComeBack() {
+  std::function<void(bool)> hook;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!back_at_ || Clock::now() < *back_at_) return;
+    back_at_.reset();
+    if (random_() % 2 == 0) {
+      id_ = name_ + "-" + std::to_string(born_ms_.load());
+    }
+    born_ = Clock::now();
+    born_ms_ = UnixMillis();
+    hook = power_hook_;
+  }
+  if (hook) hook(true);
+  Restart();
+}
+
 void FakeWorker::SendHeartbeat(HttpCaller* caller, uint64_t sequence) {
   HttpExchange exchange;
-  exchange.target = "/-/Instances.Heartbeat/" + id_;
+  const int64_t cpu = cpu_;
+  {
+    const std::lock_guard lock(mutex_);
+    exchange.target = "/-/Instances.Heartbeat/" + id_;
+    // The machine may count on more as soon as it reads of it.
+    if (acknowledged_.empty() || cpu > acknowledged_.back().second) {
+      acknowledged_.emplace_back(Clock::now(), cpu);
+    }
+  }
   exchange.timeout = Millis(1000);
   exchange.body = json{
       {"service", "svc"},
       {"address", announced_.ToString()},
       {"zone", "z"},
       {"state", is_draining_ ? "draining" : "ready"},
-      {"capacity", {{"cpu", cpu_}, {"memMb", 65'536}, {"gpu", 0}}},
+      {"capacity", {{"cpu", cpu}, {"memMb", 65'536}, {"gpu", 0}}},
       {"labels", {"a", "r1-1"}},
       {"currentTimeMs", ClockNow()},
       {"born", born_ms_.load()},
       {"seq",
        sequence}}.dump();
-  (void)caller->Exchange(exchange);
+  const bool is_known = caller->Exchange(exchange).status / 100 == 2;
+  const std::lock_guard lock(mutex_);
+  if (is_known && cpu < acknowledged_.back().second) {
+    acknowledged_.emplace_back(Clock::now(), cpu);
+  }
 }
 
 }  // namespace qs::test
--- a/tests/lib/fake_worker.h
+++ b/tests/lib/fake_worker.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -32,11 +33,25 @@
   // `ended` is when the run was over, which may be noticed late.
   void Ended(const std::string& task, const std::string& run,
              const std::string& how, Instant ended);
+  // The worker of the run crashed. `was_running` is false where its machine
+  // could not know that the run was not there. `was_alone` is true if no other
+  // run was there.
+  void Crashed(const std::string& task, const std::string& run,
+               bool was_running, bool was_alone);
+  void StartedOverCapacity(const std::string& task, const std::string& run);
   // Of the tasks of a job.
   int starts_of(const std::string& job);
   int done_of(const std::string& job);
   // The most failures of one task.
   int failed_of(const std::string& job);
+  // Whether two workers crashed under one task of the job, which was alone with
+  // one of them.
+  bool HasCrashedTwice(const std::string& job);
+  // Tasks that were started more than twice after three workers had crashed
+  // under them.
+  int started_after_crashes();
+  int over_capacity() const { return over_capacity_; }
+  int crashes() const { return crashes_; }
   // What happened to the tasks of a job, a line each.
   std::string HistoryOf(const std::string& job);
   // Pairs of runs of one task that were there at the same time.
@@ -53,6 +68,13 @@
     Instant ended = Instant::max();
   };
 
+  struct Crashes {
+    int running = 0;
+    int all = 0;
+    int alone = 0;
+    int starts_after_three = 0;
+  };
+
   static int CountOverlaps(const std::vector<Interval>& runs);
   void Note(const std::string& task, const std::string& run,
             const std::string& what);
@@ -62,9 +84,12 @@
   std::map<std::string, int> starts_by_job_;
   std::map<std::string, std::set<std::string>> done_by_job_;
   std::map<std::string, std::map<std::string, int>> failed_by_job_;
+  std::map<std::string, std::map<std::string, Crashes>> crashes_by_job_;
   std::map<std::string, std::string> history_by_job_;
   std::atomic<int> starts_{0};
   std::atomic<int> running_{0};
+  std::atomic<int> crashes_{0};  // Of runs.
+  std::atomic<int> over_capacity_{0};
 };
 
 // Of the calls of each kind, the share that a worker leaves without an answer
@@ -77,7 +102,8 @@
 };
 
 // A stand-in for a worker of the platform. A run lasts as many milliseconds as
-// its spec says, as long as its lease is renewed.
+// its spec says, as long as its lease is renewed. With a spec "300 deadly 2",
+// the task with index 2 of its step crashes the worker soon after its start.
 class FakeWorker {
  public:
   // Announces itself at `guard`, as reached at `announced`, where a proxy may
@@ -89,24 +115,33 @@
   void SetDraining(bool is_draining) { is_draining_ = is_draining; }
   void SetFailing(bool is_failing) { is_failing_ = is_failing; }
   void SetLate(const LateCalls& late);
+  // Announced with the next heartbeat. What runs goes on.
+  void SetCapacity(int64_t cpu) { cpu_ = cpu; }
+  // Whether it refuses what does not fit, as it does at first.
+  void SetCapacityEnforced(bool is_enforced) {
+    enforces_capacity_ = is_enforced;
+  }
+  // Called when a deadly task takes the worker down, and when it is back.
+  void SetPowerHook(std::function<void(bool is_up)> hook);
   // Runs that start from now on take so many times as long.
   void SetSlowness(int factor) { slowness_ = factor; }
   // Ends all runs and forgets everything, as a process that dies. It answers
   // and announces nothing until Restart, under the same id and address.
   void Crash();
-  void Restart() { is_down_ = false; }
+  void Restart();
   int starts() const { return starts_; }
 
  private:
   using Key = std::pair<std::string, uint32_t>;  // Task and attempt.
   struct Run {
     Instant ends;
+    std::optional<Instant> crashes;  // When it takes the worker down.
   };
 
   using Handler = HttpResponse (FakeWorker::*)(const nlohmann::json&);
 
   HttpResponse OnCall(Handler handler, double LateCalls::*share,
-                      const nlohmann::json& body);
+                      const HttpRequest& request);
   // Whether the call was put off.
   bool PutOff(Handler handler, double LateCalls::*share,
               const nlohmann::json& body);
@@ -122,14 +157,22 @@
   void End(const Key& key, const char* how, Instant ended);
   std::string RunName(const Key& key) const;
   int64_t ClockNow() const;
+  // With the lock held.
+  Millis DrawMillis(int64_t from, int64_t to);
+  // The most that the machine may count on. With the lock held.
+  int64_t AllowedCapacity() const;
+  // Crashes if a deadly task is due, and comes back after that.
+  void CrashWhenDue();
+  void ComeBack();
   void Announce();
   void Watch();
   void SendHeartbeat(HttpCaller* caller, uint64_t sequence);
 
-  std::string id_;
+  const std::string name_;
+  std::string id_;  // Of this incarnation.
   Address announced_;
   Address guard_;
-  int64_t cpu_;
+  std::atomic<int64_t> cpu_;
   RunLedger* ledger_;
   std::atomic<Instant> born_ = Clock::now();
   std::atomic<int64_t> born_ms_;
@@ -141,10 +184,17 @@
   std::map<Key, Run> running_;
   std::map<std::string, uint32_t> highest_;
   std::vector<nlohmann::json> ended_;
+  // Tasks whose start was put off and may be carried out yet.
+  std::map<std::string, Instant> put_off_;
+  // The capacities that the machine acknowledged, with the times.
+  std::vector<std::pair<Instant, int64_t>> acknowledged_;
+  std::optional<Instant> back_at_;  // After a crash by a deadly task.
+  std::function<void(bool)> power_hook_;
   LateCalls late_;
   std::mt19937 random_;
   std::multimap<Instant, std::function<void()>> late_calls_;
   std::atomic<int> slowness_{1};
+  std::atomic<bool> enforces_capacity_{true};
   std::atomic<bool> is_draining_{false};
   std::atomic<bool> is_failing_{false};
   std::atomic<bool> is_down_{false};
--- a/tests/lib/held_cluster.cc
+++ b/tests/lib/held_cluster.cc
@@ -16,7 +16,6 @@
 
 using nlohmann::json;
 
-constexpr int64_t kWorkerCpu = 16'000;
 constexpr int kStoreHost = 200;
 constexpr int kFirstEntryHost = 10;
 constexpr int kFirstGuardHost = 100;
@@ -63,6 +62,13 @@
     workers_.push_back(std::make_unique<FakeWorker>(
         "w" + std::to_string(i), GuardAt(i, 8101), GuardAt(i, 8100),
         GuardAt(i, 8200), kWorkerCpu, &ledger_));
+    // The machine refuses connections to a worker that is down.
+    workers_.back()->SetPowerHook(
+        [proxy = worker_proxies_.back().get()](bool is_up) {
+          proxy->SetListening(is_up);
+          proxy->SetMode(is_up ? FaultProxy::Mode::kPass
+                               : FaultProxy::Mode::kReset);
+        });
     StartGuard(i);
   }
   for (int i = 0; i < options.entries; ++i) StartEntry(i);
@@ -165,16 +171,21 @@
 HeldCluster::Answer HeldCluster::HandIn(int entry, const std::string& id,
                                         int tasks, Millis run_time,
                                         const std::string& prefix,
-                                        Millis patience) {
-  return HeldCaller(this).HandIn(entry, id, tasks, run_time, prefix, patience);
+                                        Millis patience,
+                                        std::optional<int> deadly) {
+  return HeldCaller(this).HandIn(entry, id, tasks, run_time, prefix, patience,
+                                 deadly);
 }
 
 HeldCluster::Answer HeldCaller::HandIn(int entry, const std::string& id,
                                        int tasks, Millis run_time,
                                        const std::string& prefix,
-                                       Millis patience) {
+                                       Millis patience,
+                                       std::optional<int> deadly) {
   const Instant began = Clock::now();
-  const json body = {{"spec", std::to_string(run_time.count())},
+  std::string spec = std::to_string(run_time.count());
+  if (deadly) spec += " deadly " + std::to_string(*deadly);
+  const json body = {{"spec", spec},
                      {"bestEffort", true},
                      {"phases",
                       {{{"count", tasks},
--- a/tests/lib/held_cluster.h
+++ b/tests/lib/held_cluster.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,7 @@
  public:
   static constexpr int kMaxEntries = 80;
   static constexpr int kMaxGuards = 90;
+  static constexpr int64_t kWorkerCpu = 16'000;
 
   explicit HeldCluster(const HeldClusterOptions& options);
   HeldCluster(int guards, int entries)
@@ -85,10 +87,10 @@
     bool was_sent = true;  // At least in part.
   };
   // Hands a job in over a connection of its own. Each task runs for `run_time`
-  // and declares it.
+  // and declares it. The task with index `deadly` crashes its workers.
   Answer HandIn(int entry, const std::string& id, int tasks, Millis run_time,
                 const std::string& prefix = "/q/",
-                Millis patience = Millis(8000));
+                Millis patience = Millis(8000), std::optional<int> deadly = {});
 
  private:
   static size_t Index(int i) { return static_cast<size_t>(i); }
@@ -118,7 +120,7 @@
 
   HeldCluster::Answer HandIn(int entry, const std::string& id, int tasks,
                              Millis run_time, const std::string& prefix,
-                             Millis patience);
+                             Millis patience, std::optional<int> deadly = {});
 
  private:
   HeldCluster* cluster_;
