Test a deadly task and a shrunk worker with real processes

Cause: no end-to-end test has a task that crashes its workers, or a worker that shrinks.

Change: ADeadlyTasksCallerHearsOfItAfterTwoCrashes wants the state failed, two starts, and complete jobs beside it. AShrunkWorkerGetsNoMoreThanFits wants no start over what a worker that enforces nothing announces.

--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -4,9 +4,11 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <atomic>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <vector>
 
 #include "http/http_caller.h"
 #include "lib/cluster.h"
@@ -194,6 +196,45 @@
   }));
 }
 
+// Guards against a task that crashes one worker after another, and against jobs
+// that are given up with it.
+TEST_F(HeldPathTest, ADeadlyTasksCallerHearsOfItAfterTwoCrashes) {
+  constexpr int kSoundJobs = 6;
+  ASSERT_TRUE(WaitUntil([&] { return UsesBothWorkers(0); }));
+  const std::string deadly = NextId();
+  HeldCluster::Answer answer;
+  std::vector<std::thread> callers;
+  callers.emplace_back([&] {
+    answer = cluster_.HandIn(0, deadly, 1, Millis(300), "/q/", Millis(8000), 0);
+  });
+  std::atomic<int> completed{0};
+  for (int i = 0; i < kSoundJobs; ++i) {
+    callers.emplace_back([&, entry = i % kEntries, id = NextId()] {
+      const HeldCluster::Answer sound =
+          cluster_.HandIn(entry, id, 1, Millis(200));
+      if (sound.body.find("completed") != std::string::npos) ++completed;
+    });
+  }
+  for (std::thread& caller : callers) caller.join();
+  ASSERT_EQ(answer.status, 200);
+  EXPECT_EQ(json::parse(answer.body).value("state", ""), "failed");
+  EXPECT_EQ(ledger_.starts_of(deadly), 2);
+  EXPECT_TRUE(ledger_.HasCrashedTwice(deadly));
+  EXPECT_EQ(completed, kSoundJobs);
+}
+
+// Guards against starts that count on capacity that a worker no longer has.
+TEST_F(HeldPathTest, AShrunkWorkerGetsNoMoreThanFits) {
+  ASSERT_TRUE(WaitUntil([&] { return UsesBothWorkers(0); }));
+  for (int i = 0; i < kGuards; ++i) {
+    cluster_.worker(i).SetCapacityEnforced(false);
+    cluster_.worker(i).SetCapacity(4000);
+  }
+  std::this_thread::sleep_for(Millis(4700));
+  EXPECT_EQ(HandIn(0, NextId(), 6, 100), 200);
+  EXPECT_EQ(ledger_.over_capacity(), 0);
+}
+
 TEST_F(HeldPathTest, FaultySettingsAreRefusedAndTheProcessGoesOn) {
   std::ofstream(cluster_.SettingsPath("entry0"))
       << "[process]\nrole = nonsense\n";
