Soak with deadly tasks and workers whose capacity changes

Change: one job in 30 has a task that crashes its workers. A new failure changes a worker's capacity in steps, and every other worker starts what does not fit. A job that failed needs a task that used up its attempts, or two crashes under a task that was alone in one of them. A task is started at most twice after three crashes, and nothing is started over the announced capacity.

--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -48,6 +48,8 @@
 constexpr Millis kSignalsHandled{2000};
 constexpr Millis kRecovery{20'000};
 constexpr Millis kTick{5};
+// One job in so many has a task that crashes its workers.
+constexpr uint32_t kDeadlyOneIn = 30;
 
 class HeldSoak {
  public:
@@ -57,7 +59,12 @@
         entries_(entries),
         guards_(options.guards),
         random_(options.seed),
-        processes_(static_cast<size_t>(cluster->process_count())) {}
+        processes_(static_cast<size_t>(cluster->process_count())) {
+    // Every other worker starts whatever it is told to.
+    for (int i = 1; i < guards_; i += 2) {
+      cluster_->worker(i).SetCapacityEnforced(false);
+    }
+  }
 
   void Run() {
     std::vector<std::thread> threads =
@@ -78,7 +85,14 @@
     qs::test::RunLedger& ledger = cluster_->ledger();
     violations_["one run of a task at a time"] = ledger.doubled();
     std::printf("%s", ledger.DoubledHistory().c_str());
-    std::printf("starts %d, answers", ledger.starts());
+    violations_["at most two starts after three crashes"] =
+        ledger.started_after_crashes();
+    violations_["no start over the announced capacity"] =
+        ledger.over_capacity();
+    std::printf("starts %d, crashes of runs %d, deadly jobs %d, given up %d",
+                ledger.starts(), ledger.crashes(), deadly_jobs_.load(),
+                given_up_.load());
+    std::printf(", answers");
     for (const auto& [status, count] : answers_) {
       std::printf(" %d:%d", status, count);
     }
@@ -114,6 +128,11 @@
       // One task in eight outlasts every lease.
       const Millis run_time(random() % 8 == 0 ? 1000 + random() % 3000
                                               : 5 + random() % 300);
+      std::optional<int> deadly;
+      if (random() % kDeadlyOneIn == 0) {
+        deadly = static_cast<int>(random() % static_cast<uint32_t>(tasks));
+        ++deadly_jobs_;
+      }
       int entry = static_cast<int>(random()) & 0xffff;
       int sent = 0;
       HeldCluster::Answer answer;
@@ -128,7 +147,7 @@
             leaves ? Millis(20 + random() % 300) : kCallerTimeout;
         const Instant began = Clock::now();
         answer = caller.HandIn(entry++ % entries_, id, tasks, run_time, "/q/",
-                               caller_timeout);
+                               caller_timeout, deadly);
         if (answer.was_sent) ++sent;
         if (Clock::now() - began > caller_timeout + kCallerTimeoutSlack) {
           RecordViolation("callers are answered in time or cut off", id,
@@ -154,9 +173,12 @@
       RecordViolation("complete when every task is done", id, status);
     }
     // An answer with status 200 that is not "completed" reports that some task
-    // used up its attempts.
+    // used up its attempts, or that two workers crashed under it.
     if (status == 200 && !is_complete && ledger.failed_of(id) < kMaxAttempts) {
-      RecordViolation("failed when a task failed too often", id, status);
+      ++given_up_;
+      if (!ledger.HasCrashedTwice(id)) {
+        RecordViolation("failed when a task failed too often", id, status);
+      }
     }
     // If the job was sent only once, a refusal promises that none of its tasks
     // ran or will run. CheckRecovery() verifies this at the end.
@@ -199,6 +221,7 @@
         Row{"worker_fails", &HeldSoak::WorkerFails},
         Row{"worker_drains", &HeldSoak::WorkerDrains},
         Row{"configuration", &HeldSoak::ChangeConfiguration},
+        Row{"worker_capacity", &HeldSoak::WorkerCapacity},
     };
     for (int i = 0; i < options_.failures; ++i) {
       const Row& row = kRows.at(random_() % kRows.size());
@@ -522,6 +545,21 @@
     After(Draw(100, 3000), [&worker] { worker.SetDraining(false); });
   }
 
+  // It shrinks, also to nothing, and grows again.
+  void WorkerCapacity() {
+    FakeWorker& worker = cluster_->worker(DrawUpTo(guards_));
+    const int steps = 1 + DrawUpTo(3);
+    Millis at(0);
+    for (int i = 0; i < steps; ++i) {
+      const int64_t cpu = int64_t{4000} * DrawUpTo(4);
+      After(at, [&worker, cpu] { worker.SetCapacity(cpu); });
+      at += Draw(300, 3000);
+    }
+    // Long enough that what was announced has to count.
+    if (DrawUpTo(2) == 0) at += Draw(3000, 6000);
+    After(at, [&worker] { worker.SetCapacity(HeldCluster::kWorkerCpu); });
+  }
+
   void CheckRecovery() {
     for (int i = 0; i < entries_; ++i) {
       const bool recovered = qs::test::WaitUntil(
@@ -550,6 +588,8 @@
   std::multimap<Instant, std::function<void()>> scheduled_;
   uint64_t version_ = 2;
   std::atomic<bool> stop_{false};
+  std::atomic<int> deadly_jobs_{0};
+  std::atomic<int> given_up_{0};  // Jobs, for crashes.
   std::map<std::string, int> injected_;
   std::mutex mutex_;
   std::map<int, int> answers_;
@@ -559,6 +599,8 @@
       {"complete when every task is done", 0},
       {"failed when a task failed too often", 0},
       {"a refusal says that nothing ran", 0},
+      {"at most two starts after three crashes", 0},
+      {"no start over the announced capacity", 0},
       {"callers are answered in time or cut off", 0},
       {"a process ends only when told to", 0},
       {"a planned stop ends in its grace time", 0},
