Return queued grants that a smaller backend server cannot take

Cause: a grant was checked against the announced slots only when it arrived. When a later announcement had fewer slots, or none, the grants queued before stayed until a slot became free or their deadlines passed, although other executors could run them.

Change: an announcement returns the queued grants over its limit (slots and the queue per slot, less what runs), those accepted last first, as not run with executor_queue_full.

Measured: ReturnsAtOnceWhatASmallerBackendServerCannotTake and ABackendServerWithoutSlotsKeepsAndTakesNoGrant failed before (0 replies for 2, 3 for 4) and pass now. StartsNothingOverTheSlotsAnnouncedLast and GrowthStartsWhatWaitsAtOnce passed before: the first fails when running tasks are left out of the limit or starts are measured against more slots, the second when an announcement does not start what is queued (changed by hand and put back).

--- a/src/core/executor.cc
+++ b/src/core/executor.cc
@@ -86,12 +86,16 @@
   if (!OffersService(grant.service)) return Reason::kWrongService;
   // While the breaker is open, one grant at a time is accepted as the probe.
   if (breaker_.open() && running_ + queued_ > 0) return Reason::kBreakerOpen;
-  const uint32_t slots = announcement_.slots;
-  const uint32_t limit = slots + slots * options_.queue_per_slot;
-  if (running_ + queued_ >= limit) return Reason::kExecutorQueueFull;
+  if (running_ + queued_ >= GrantLimit()) return Reason::kExecutorQueueFull;
   return Reason::kNone;
 }
 
+// The number of grants that may be queued or running at once.
+uint32_t Executor::GrantLimit() const {
+  const uint32_t slots = announcement_.slots;
+  return slots + slots * options_.queue_per_slot;
+}
+
 bool Executor::OffersService(const std::string& service) const {
   const auto& services = announcement_.services;
   return std::find(services.begin(), services.end(), service) != services.end();
@@ -211,6 +215,23 @@
   for (auto& [home, state] : homes_) ReturnQueued(&state, home, reason);
 }
 
+// Returns the queued grants that the announced capacity no longer admits, so
+// that other executors can run them.
+void Executor::ReturnExcess() {
+  const uint32_t limit = GrantLimit();
+  for (auto key = queue_.rbegin(); key != queue_.rend(); ++key) {
+    if (queued_ == 0 || running_ + queued_ <= limit) return;
+    HomeState& home = homes_.at(key->home);
+    const auto entry = home.records.find(key->number);
+    if (entry == home.records.end()) continue;
+    if (entry->second.phase != GrantPhase::kQueued) continue;
+    --queued_;
+    --home.outstanding;
+    End(key->home, key->number, &entry->second,
+        NotRun(Reason::kExecutorQueueFull));
+  }
+}
+
 void Executor::OnHomeUnreachable(Incarnation home, Instant now) {
   now_ = now;
   const auto found = homes_.find(home);
@@ -244,6 +265,7 @@
   has_announcement_ = true;
   announced_at_ = now;
   if (announcement.draining) ReturnAllQueued(Reason::kExecutorDraining);
+  ReturnExcess();
   StartQueued(now);
 }
 
--- a/src/core/executor.h
+++ b/src/core/executor.h
@@ -88,6 +88,8 @@
   // This incarnation of the home has terminated: another one runs at its
   // address. Its queued grants, records and unsent replies are dropped.
   void OnHomeTerminated(Incarnation home, Instant now);
+  // Queued grants that exceed the announced capacity are returned, those that
+  // were accepted last first.
   void OnAnnouncement(const Announcement& announcement, Instant now);
   // The backend server withdrew its announcement. Queued grants are returned.
   void OnBackendWithdrawn(Instant now);
@@ -146,6 +148,8 @@
            TaskResult result);
   void ReturnQueued(HomeState* state, Incarnation home, Reason reason);
   void ReturnAllQueued(Reason reason);
+  void ReturnExcess();
+  uint32_t GrantLimit() const;
   void DropRecords(HomeState* state, Incarnation home);
   void StartQueued(Instant now);
   bool StartNext(Instant now);
--- a/tests/executor_test.cc
+++ b/tests/executor_test.cc
@@ -14,11 +14,11 @@
  protected:
   ExecutorTest() { Announce(); }
 
-  void Announce() {
+  void Announce(uint32_t slots = 2) {
     Announcement announcement;
     announcement.address = {1, 1};
     announcement.services = {"sketch"};
-    announcement.slots = 2;
+    announcement.slots = slots;
     executor_.OnAnnouncement(announcement, now_);
   }
 
@@ -43,6 +43,11 @@
     }
   }
 
+  void EndAsDone(GrantNumber number) {
+    executor_.OnTaskEnded({kHome, number}, {Outcome::kDone, Reason::kNone, {}},
+                          now_);
+  }
+
   void EndWithFailure(GrantNumber number) {
     executor_.OnTaskEnded({kHome, number},
                           {Outcome::kFailed, Reason::kBackendFailed, {}}, now_);
@@ -174,5 +179,79 @@
   EXPECT_EQ(started_, (std::vector<GrantNumber>{1, 2}));
 }
 
+// Guards against queued grants that wait for a slot of a backend server that
+// has become smaller, while other executors could run them.
+TEST_F(ExecutorTest, ReturnsAtOnceWhatASmallerBackendServerCannotTake) {
+  Announce(4);
+  for (GrantNumber i = 1; i <= 8; ++i) SendGrant(i);
+  CollectActions();
+  ASSERT_EQ(started_.size(), 4U);
+  ASSERT_TRUE(replies_.empty());
+  Announce(3);  // Four run, so that two may be queued.
+  CollectActions();
+  ASSERT_EQ(replies_.size(), 2U);
+  EXPECT_EQ(replies_[0].number, 8U);
+  EXPECT_EQ(replies_[1].number, 7U);
+  for (const GrantStatus& reply : replies_) {
+    EXPECT_EQ(reply.result.outcome, Outcome::kNotRun);
+    EXPECT_EQ(reply.result.reason, Reason::kExecutorQueueFull);
+  }
+  // The returned grants do not start when the capacity grows again.
+  Announce(8);
+  SendGrant(7);
+  CollectActions();
+  EXPECT_EQ(started_, (std::vector<GrantNumber>{1, 2, 3, 4, 5, 6}));
+}
+
+// Guards against starts over the slots announced last: what runs counts.
+TEST_F(ExecutorTest, StartsNothingOverTheSlotsAnnouncedLast) {
+  Announce(4);
+  for (GrantNumber i = 1; i <= 4; ++i) SendGrant(i);
+  Announce(2);
+  SendGrant(5);  // Refused: four run, and two slots admit four grants.
+  CollectActions();
+  ASSERT_EQ(replies_.size(), 1U);
+  EXPECT_EQ(replies_[0].result.reason, Reason::kExecutorQueueFull);
+  EndAsDone(1);
+  SendGrant(6);  // Queued.
+  EndAsDone(2);
+  CollectActions();
+  EXPECT_EQ(started_.size(), 4U);
+  EndAsDone(3);
+  CollectActions();
+  EXPECT_EQ(started_, (std::vector<GrantNumber>{1, 2, 3, 4, 6}));
+}
+
+// Guards against grants that stay queued at a backend server without slots.
+TEST_F(ExecutorTest, ABackendServerWithoutSlotsKeepsAndTakesNoGrant) {
+  for (GrantNumber i = 1; i <= 3; ++i) SendGrant(i);
+  Announce(0);
+  SendGrant(4);
+  EndAsDone(1);
+  EndAsDone(2);
+  CollectActions();
+  EXPECT_EQ(started_, (std::vector<GrantNumber>{1, 2}));
+  ASSERT_EQ(replies_.size(), 4U);
+  EXPECT_EQ(replies_[0].number, 3U);
+  EXPECT_EQ(replies_[0].result.reason, Reason::kExecutorQueueFull);
+  EXPECT_EQ(replies_[1].number, 4U);
+  EXPECT_EQ(replies_[1].result.reason, Reason::kExecutorQueueFull);
+  Announce(1);
+  SendGrant(5);
+  CollectActions();
+  EXPECT_EQ(started_.back(), 5U);
+}
+
+// Guards against queued grants that wait for the next end of a task although
+// the backend server has grown.
+TEST_F(ExecutorTest, GrowthStartsWhatWaitsAtOnce) {
+  for (GrantNumber i = 1; i <= 4; ++i) SendGrant(i);
+  CollectActions();
+  ASSERT_EQ(started_.size(), 2U);
+  Announce(3);
+  CollectActions();
+  EXPECT_EQ(started_, (std::vector<GrantNumber>{1, 2, 3}));
+}
+
 }  // namespace
 }  // namespace qs::test
