Draw deadly tasks and changing slots in the property test of the core

Cause: the drawn runs had neither tasks that crash their backend server nor backend servers whose slots change, so that nothing checked a second start after a crash, the answers about the tasks beside it, or starts over the slots announced last.

Change: the last task of each drawn job is deadly: its end is a crash of its backend server, at which everything that runs there ends as disconnected, and the server comes back at once. Slots of 0 to 4 are announced at any time. Checked: at most one start of a task ever, at most one crash that a task was running at, backend_disconnected only for what a crash cut off and unknown for all of it, no done for a deadly task, no start over the slots. A test of the home shows that the caller hears of the crash without any time passing and that the task beside it is told the same and the waiting ones run.

--- a/tests/core_harness.cc
+++ b/tests/core_harness.cc
@@ -1,11 +1,11 @@
 #include "core_harness.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace qs::test {
 namespace {
 
-constexpr uint32_t kSlots = 2;
 constexpr const char* kService = "sketch";
 constexpr Millis kWait{3'600'000};
 
@@ -66,7 +66,7 @@
   Announcement announcement;
   announcement.address = AddressOf(executor);
   announcement.services = {kService};
-  announcement.slots = kSlots;
+  announcement.slots = executors_[Index(executor)].slots;
   executors_[Index(executor)].core->OnAnnouncement(announcement, now_);
   RouteActions();
 }
@@ -118,6 +118,9 @@
   if (auto* start = std::get_if<StartTask>(&action)) {
     ++starts_[start->payload];
     node.running.push_back(std::move(*start));
+    if (node.running.size() > node.slots) {
+      max_excess_ = std::max(max_excess_, node.running.size() - node.slots);
+    }
     return;
   }
   if (!node.is_connected) return;
@@ -211,6 +214,10 @@
 
 void CoreHarness::EndTask(int executor, size_t index, TaskResult result) {
   Node& node = executors_[Index(executor)];
+  if (IsDeadly(node.running[index].payload)) {
+    CrashBackend(executor);
+    return;
+  }
   const StartTask task = node.running[index];
   node.running.erase(node.running.begin() + static_cast<ptrdiff_t>(index));
   if (result.outcome == Outcome::kDone) result.output = "done:" + task.payload;
@@ -218,6 +225,23 @@
   RouteActions();
 }
 
+void CoreHarness::CrashBackend(int executor) {
+  Node& node = executors_[Index(executor)];
+  const std::vector<StartTask> ended = std::exchange(node.running, {});
+  std::set<std::string>& payloads = crashes_.emplace_back();
+  for (const StartTask& task : ended) {
+    payloads.insert(task.payload);
+    node.core->OnTaskEnded(
+        task.key, {Outcome::kUnknown, Reason::kBackendDisconnected, {}}, now_);
+  }
+  RouteActions();
+}
+
+void CoreHarness::SetSlots(int executor, uint32_t slots) {
+  executors_[Index(executor)].slots = slots;
+  Announce(executor);
+}
+
 void CoreHarness::Advance(Millis duration) {
   constexpr Millis kStep{1000};
   for (Millis left = duration; left > Millis(0); left -= kStep) {
--- a/tests/core_harness.h
+++ b/tests/core_harness.h
@@ -64,12 +64,29 @@
   size_t Running(int executor) const;
   void EndTask(int executor, size_t index, TaskResult result);
 
+  // Makes a task crash the backend server that runs it. EndTask then ends it by
+  // the crash, with all tasks beside it.
+  void MakeDeadly(const std::string& payload) { deadly_.insert(payload); }
+  bool IsDeadly(const std::string& payload) const {
+    return deadly_.contains(payload);
+  }
+  // The backend server of an executor crashes: all tasks that run there end as
+  // disconnected. It comes back at once.
+  void CrashBackend(int executor);
+  // Announces a backend server with this many slots from now on.
+  void SetSlots(int executor, uint32_t slots);
   void Announce(int executor);
   void Advance(Millis duration);
   // Reconnects all executors, then delivers all messages and ends all tasks as
   // done until no message is in flight and no job is running.
   void Settle();
 
+  // The largest number of tasks that a start exceeded the slots by which its
+  // backend server had announced last.
+  size_t max_excess() const { return max_excess_; }
+  // The payloads that were running at a backend server when it crashed, by
+  // crash.
+  const std::vector<std::set<std::string>>& crashes() const { return crashes_; }
   // How often each payload was started, by all executors together.
   const std::map<std::string, int>& starts() const { return starts_; }
 
@@ -79,6 +96,7 @@
     Incarnation known_incarnation;  // As the home knows it.
     std::unique_ptr<Executor> core;
     bool is_connected = true;
+    uint32_t slots = 2;
     std::vector<HomeAction> to_executor;  // SendGrants and SendAsk.
     std::vector<std::pair<Incarnation, GrantReplies>> to_home;
     std::vector<StartTask> running;
@@ -102,6 +120,9 @@
   std::map<uint64_t, uint64_t> requests_;  // Sequence of each request.
   std::map<uint64_t, std::vector<JobAnswer>> answers_;
   std::map<std::string, int> starts_;
+  std::vector<std::set<std::string>> crashes_;
+  std::set<std::string> deadly_;
+  size_t max_excess_ = 0;
 };
 
 // A job whose tasks have the payloads "prefix-0", "prefix-1" and so on.
--- a/tests/core_property_test.cc
+++ b/tests/core_property_test.cc
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+
 #include "core_harness.h"
 
 namespace qs::test {
@@ -14,6 +16,8 @@
 constexpr int kExecutors = 3;
 constexpr int kJobs = 3;
 constexpr int kTasks = 4;
+constexpr uint32_t kMaxSlots = 4;
+constexpr int kStepKinds = 19;
 
 // The outcome of a task as a reference model states it: a single process that
 // never loses any state.
@@ -101,11 +105,31 @@
       h.executor(executor).SetDraining(pick % 2 == 0, h.now());
       h.Advance(Millis(10));
       break;
+    case 17:
+    case 18:
+      h.SetSlots(executor, static_cast<uint32_t>(index % (kMaxSlots + 1)));
+      break;
     default:
       break;
   }
 }
 
+// Checks the answer about a task against the crashes of backend servers.
+void CheckCrashes(Run* run, const std::string& payload,
+                  const TaskResult& result) {
+  const auto& crashes = run->harness.crashes();
+  const auto count = std::count_if(
+      crashes.begin(), crashes.end(),
+      [&](const auto& crashed) { return crashed.contains(payload); });
+  RC_ASSERT(count <= 1);
+  // Only what ran at a server that crashed is said to have been cut off by it,
+  // and it is never said to have ended in another way.
+  if (result.reason == Reason::kBackendDisconnected) RC_ASSERT(count == 1);
+  if (count == 1) RC_ASSERT(result.outcome == Outcome::kUnknown);
+  const bool is_deadly = run->harness.IsDeadly(payload);
+  RC_ASSERT(!is_deadly || result.outcome != Outcome::kDone);
+}
+
 // Checks every answer that callers received for one submission.
 void CheckSubmission(Run* run, size_t j) {
   CoreHarness& h = run->harness;
@@ -131,6 +155,9 @@
     RC_ASSERT(starts <= 1);
     const Outcome reported = is_refused ? Outcome::kNotRun : results[t].outcome;
     if (reported == Outcome::kNotRun) RC_ASSERT(starts == 0);
+    CheckCrashes(run, payload,
+                 is_refused ? TaskResult{Outcome::kNotRun, Reason::kNone, {}}
+                            : results[t]);
     if (reported == Outcome::kDone || reported == Outcome::kFailed) {
       // The reference model gives the same outcome.
       RC_ASSERT(
@@ -147,16 +174,22 @@
 
 RC_GTEST_PROP(CorePropertyTest, AnswersAgreeWithTheNaiveVersion, ()) {
   Run run;
-  const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-      rc::gen::pair(rc::gen::inRange(0, 17), rc::gen::inRange(0, 10'000)));
+  for (const JobSpec& job : run.jobs) {
+    run.harness.MakeDeadly(job.payloads.back());
+  }
+  const auto steps =
+      *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+          rc::gen::inRange(0, kStepKinds), rc::gen::inRange(0, 10'000)));
   for (const auto& [kind, pick] : steps) {
     Step(&run, kind, static_cast<size_t>(pick));
     for (size_t j = 0; j < kJobs; ++j) CheckSubmission(&run, j);
+    RC_ASSERT(run.harness.max_excess() == 0U);
   }
   // Without further faults, every submission that the home received is
   // answered.
   for (int i = 0; i < kExecutors; ++i) {
     run.harness.executor(i).SetDraining(false, run.harness.now());
+    run.harness.SetSlots(i, kMaxSlots);
   }
   run.harness.Settle();
   run.harness.Advance(Millis(40'000));
@@ -171,6 +204,8 @@
     }
   }
   RC_CLASSIFY(unknown > 0, "some unknown");
+  RC_CLASSIFY(!run.harness.crashes().empty(), "some crash");
+  RC_ASSERT(run.harness.max_excess() == 0U);
   RC_ASSERT(run.harness.home().running_jobs() == 0U);
   RC_ASSERT(run.harness.home().waiting_tasks() == 0U);
 }
--- a/tests/home_test.cc
+++ b/tests/home_test.cc
@@ -212,5 +212,38 @@
   EXPECT_EQ(h.starts().at("a-0"), 1);
 }
 
+// Guards against a second start of a task that crashes backend servers, and
+// against a caller that hears of the crash only at the deadline.
+TEST(HomeTest, ADeadlyTaskCrashesOneBackendServerAndIsToldAtOnce) {
+  CoreHarness h(2);
+  h.SetSlots(1, 0);
+  h.Advance(Millis(1000));  // The home hears of it.
+  const uint64_t deadly = h.Mint();
+  const uint64_t sound = h.Mint();
+  h.Submit(deadly, MakeJob("deadly", 1));
+  h.Submit(sound, MakeJob("sound", 3));
+  h.MakeDeadly("deadly-0");
+  while (h.InFlightTo(0) > 0) h.DeliverTo(0, 0, false);
+  ASSERT_EQ(h.Running(0), 2U);
+  h.SetSlots(1, 2);
+  h.EndTask(0, 0, {});
+  while (h.InFlightFrom(0) > 0) h.DeliverFrom(0, 0, false);
+  // No time has passed.
+  ASSERT_EQ(h.answers(deadly).size(), 1U);
+  const TaskResult cut_off{Outcome::kUnknown, Reason::kBackendDisconnected, {}};
+  EXPECT_EQ(h.answers(deadly)[0].state, JobState::kFailed);
+  EXPECT_EQ(h.answers(deadly)[0].reason, Reason::kBackendDisconnected);
+  EXPECT_EQ(h.answers(deadly)[0].results[0], cut_off);
+  h.Settle();
+  EXPECT_EQ(h.starts().at("deadly-0"), 1);
+  EXPECT_EQ(h.crashes().size(), 1U);
+  // The task beside it was cut off; the others ran.
+  ASSERT_EQ(h.answers(sound).size(), 1U);
+  const auto& results = h.answers(sound)[0].results;
+  EXPECT_EQ(results[0], cut_off);
+  EXPECT_EQ(results[1].outcome, Outcome::kDone);
+  EXPECT_EQ(results[2].outcome, Outcome::kDone);
+}
+
 }  // namespace
 }  // namespace qs::test
