Take no refused connection for the end of a peer that is still connected

Cause: PeerNetwork::Retry took every refused connection for the end of the peer's process. A partition that refuses new connections to a living guard, after its link had broken, thereby ended the guard's running tasks at once as unknown with executor_lost, made the guard drop the queued grants and results of a living home, and told callers home_lost, which is final, while the home lived and could still start their tasks. Nothing started twice by itself: the tasks had ended at the home. But a caller who believes home_lost sends the job again under a new id.

Change: the refusal counts only when no connection that the same incarnation opened to this process is open. All connections of a killed process close at once, so its end is still seen by the next refusal.

Measured: PeerNetworkTest.ARefusedConnectionEndsNoPeerWhoseOwnConnectionIsOpen failed before (peer gone with its session open) and passes now.

--- a/src/net/peer_network.cc
+++ b/src/net/peer_network.cc
@@ -207,9 +207,11 @@
 }
 
 void PeerNetwork::Retry(const std::shared_ptr<Link>& link, bool refused) {
-  if (refused && link->incarnation.value != 0) {
+  if (refused && link->incarnation.value != 0 &&
+      !HasSession(link->incarnation)) {
     // A running process keeps its listening socket open, so a refused
-    // connection shows that the peer has terminated.
+    // connection shows that the peer has terminated. While the peer's own
+    // connection is open, the refusal came from the network.
     const Incarnation terminated = std::exchange(link->incarnation, {});
     handler_->OnPeerGone(link->address, terminated);
     if (link->dropped) return;
@@ -225,6 +227,14 @@
   });
 }
 
+bool PeerNetwork::HasSession(Incarnation incarnation) const {
+  return std::any_of(
+      sessions_.begin(), sessions_.end(), [&](const auto& entry) {
+        const Session& session = *entry.second;
+        return session.has_hello && session.hello.incarnation == incarnation;
+      });
+}
+
 bool PeerNetwork::IsUp(Address address, Incarnation* incarnation) const {
   const auto found = links_.find(address);
   if (found == links_.end() || !found->second->is_up) return false;
--- a/src/net/peer_network.h
+++ b/src/net/peer_network.h
@@ -80,6 +80,8 @@
   void OnHello(const std::shared_ptr<Link>& link, const Hello& hello);
   void OnLinkClosed(const std::shared_ptr<Link>& link);
   void Retry(const std::shared_ptr<Link>& link, bool refused);
+  // Returns whether a connection that this incarnation opened is open.
+  bool HasSession(Incarnation incarnation) const;
   void StartSession(asio::ip::tcp::socket socket);
   void OnSessionFrame(const std::shared_ptr<Session>& session, Message message);
   void OnSessionClosed(const std::shared_ptr<Session>& session);
--- /dev/null
+++ b/tests/peer_network_test.cc
@@ -0,0 +1,90 @@
+#include "net/peer_network.h"
+
+#include <gtest/gtest.h>
+
+#include <asio/write.hpp>
+#include <string>
+#include <vector>
+
+#include "net/tcp.h"
+#include "wire/codec.h"
+
+namespace qs::test {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr Incarnation kSelf{1};
+constexpr Incarnation kPeer{2};
+
+struct Recorder : PeerHandler {
+  void OnLinkUp(Address /*address*/, const Hello& /*hello*/) override {
+    ++links_up;
+  }
+  void OnLinkDown(Address /*address*/, Incarnation /*incarnation*/) override {
+    ++links_down;
+  }
+  void OnPeerGone(Address /*address*/, Incarnation incarnation) override {
+    gone.push_back(incarnation);
+  }
+  void OnLinkMessage(Address /*address*/, Incarnation /*incarnation*/,
+                     Message /*message*/) override {}
+  void OnSessionUp(uint64_t /*session*/, const Hello& /*hello*/) override {
+    ++sessions_up;
+  }
+  void OnSessionMessage(uint64_t /*session*/, const Hello& /*hello*/,
+                        Message /*message*/) override {}
+  void OnSessionDown(uint64_t /*session*/, const Hello& /*hello*/) override {}
+
+  int links_up = 0;
+  int links_down = 0;
+  int sessions_up = 0;
+  std::vector<Incarnation> gone;
+};
+
+// A loopback address whose port was free a moment ago.
+Address FreeAddress(asio::io_context* io) {
+  const tcp::acceptor acceptor(
+      *io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return {asio::ip::address_v4::loopback().to_uint(),
+          acceptor.local_endpoint().port()};
+}
+
+// Guards against a peer that is taken for terminated, with every task it holds,
+// because a partition refuses new connections to it while it lives.
+TEST(PeerNetworkTest, ARefusedConnectionEndsNoPeerWhoseOwnConnectionIsOpen) {
+  asio::io_context io;
+  Recorder events;
+  const Address self = FreeAddress(&io);
+  const Address peer = FreeAddress(&io);
+  auto made = PeerNetwork::Make(&io, {kSelf, self, Role::kGuard}, &events);
+  ASSERT_TRUE(made);
+  PeerNetwork& network = **made;
+  const std::string frame = EncodeFrame(Hello{kPeer, peer, Role::kGuard});
+  const auto hello = asio::buffer(frame);
+
+  tcp::acceptor acceptor(io, ToEndpoint(peer));
+  network.KeepLink(peer);
+  tcp::socket accepted = acceptor.accept();
+  asio::write(accepted, hello);
+  tcp::socket session(io);
+  session.connect(ToEndpoint(self));
+  asio::write(session, hello);
+  io.run_for(Millis(200));
+  ASSERT_EQ(events.links_up, 1);
+  ASSERT_EQ(events.sessions_up, 1);
+
+  acceptor.close();
+  accepted.close();
+  io.run_for(Millis(500));
+  EXPECT_EQ(events.links_down, 1);
+  EXPECT_TRUE(events.gone.empty());
+
+  // Without any connection of the peer's own, a refusal shows its end.
+  session.close();
+  io.run_for(Millis(1500));
+  EXPECT_EQ(events.gone, std::vector<Incarnation>{kPeer});
+}
+
+}  // namespace
+}  // namespace qs::test
