Use no idle connection from before a crash of the backend server

Cause: each thread of the pool keeps its connection to the backend server. When the server crashed and came back within backend_idle_limit_ms, the idle threads sent their next tasks on connections that the crash had closed. Each of these tasks, none of which had started, ended as unknown with backend_disconnected, and the failures counted against the server.

Change: after an attempt that was cut off or could not be sent, every thread opens a new connection for its next attempt. The end of the attempt is reported after that, so that what starts in answer to it is safe too.

A server that crashes while nothing runs there still costs the tasks that are sent on idle connections at that moment.

--- a/src/daemon/backend_pool.cc
+++ b/src/daemon/backend_pool.cc
@@ -84,6 +84,7 @@
 
 void BackendPool::Run() {
   std::unique_ptr<HttpClient> client;
+  uint64_t cut_off_before = 0;  // Value of `cut_off_` when `client` was made.
   while (true) {
     StartTask task;
     {
@@ -93,7 +94,10 @@
       task = std::move(tasks_.front());
       tasks_.pop_front();
     }
-    if (client == nullptr || client->server() != task.backend) {
+    const uint64_t cut_off = cut_off_;
+    if (client == nullptr || client->server() != task.backend ||
+        cut_off != cut_off_before) {
+      cut_off_before = cut_off;
       client = std::make_unique<HttpClient>(task.backend, idle_limit_);
     }
     const Instant start = Clock::now();
@@ -109,7 +113,10 @@
   request.body = task.payload;
   request.timeout = std::max(task.remaining, kMinTimeout);
   auto response = client->Exchange(request);
-  if (!response) return FromFault(response.error());
+  if (!response) {
+    if (response.error() != ExchangeFault::kTimeout) ++cut_off_;
+    return FromFault(response.error());
+  }
   return FromResponse(std::move(*response));
 }
 
--- a/src/daemon/backend_pool.h
+++ b/src/daemon/backend_pool.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -42,13 +44,17 @@
 
  private:
   void Run();
-  static TaskResult Attempt(HttpClient* client, const StartTask& task);
+  TaskResult Attempt(HttpClient* client, const StartTask& task);
 
   Millis idle_limit_;
   EndCallback on_end_;
   std::mutex mutex_;
   std::condition_variable has_work_;
   std::deque<StartTask> tasks_;
+  // Attempts that the backend server cut off or that could not be sent. Idle
+  // connections from before the last of them may lead to a server that crashed,
+  // so they are not used again.
+  std::atomic<uint64_t> cut_off_{0};
   bool stopped_ = false;
   std::vector<std::thread> threads_;
 };
--- a/tests/failure_test.cc
+++ b/tests/failure_test.cc
@@ -201,6 +201,26 @@
   EXPECT_EQ(WaitAnswer(next)["state"], "complete");
 }
 
+// Guards against tasks that are sent to a backend server that came back after a
+// crash on idle connections of before the crash, and so end as unknown.
+TEST_F(FailureTest, NoTaskIsLostToAnEarlierCrashOfItsBackendServer) {
+  ClusterOptions options = Guards(1);
+  options.guard_settings["guard"] = "backend_idle_limit_ms = 60000\n";
+  StartCluster(options);
+  // Leaves an idle connection to the backend server for each slot.
+  WaitAnswer(Submit("a", 32, 50));
+  const std::string cut_off = Submit("b", 1, 5000);
+  ASSERT_TRUE(WaitUntil([&] { return Started("b") == 1; }));
+  cluster_->backend(0).Kill();
+  EXPECT_EQ(Count(WaitAnswer(cut_off), "unknown"), 1);
+  cluster_->StartBackend(0);
+  ASSERT_TRUE(cluster_->WaitReady());
+  const std::string next = Submit("c", 16, 50);
+  const json answer = WaitAnswer(next);
+  EXPECT_EQ(answer["state"], "complete") << answer;
+  Judge(next, answer, 16);
+}
+
 TEST_F(FailureTest, AWorkerThatFailsEveryTaskIsTakenOut) {
   StartCluster(Guards(3));
   Cluster::Call(cluster_->backend_http(2), "POST", "/control",
