Accept an announcement of no slots

Cause: the guard refused announcements with 0 slots as malformed. A backend server whose capacity fell to nothing was therefore given work by its last announcement until that lapsed after announcement_ttl (3 s).

Change: 0 is a number of slots like others; a missing number is still refused.

--- a/src/http/announcement_json.cc
+++ b/src/http/announcement_json.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr uint32_t kMaxSlots = 1024;
+constexpr uint32_t kNoSlots = kMaxSlots + 1;  // Stands for a missing number.
 constexpr uint32_t kMaxConnections = 65'535;
 
 }  // namespace
@@ -24,8 +25,8 @@
     reader.Add("address", "must be IP:port");
   }
   announcement.services = reader.Texts("services");
-  announcement.slots = reader.Number("slots", 1, kMaxSlots, 0);
-  if (announcement.slots == 0) reader.Add("slots", "is required");
+  announcement.slots = reader.Number("slots", 0, kMaxSlots, kNoSlots);
+  if (announcement.slots == kNoSlots) reader.Add("slots", "is required");
   announcement.connections =
       reader.Number("connections", 1, kMaxConnections, 0);
   announcement.draining = reader.Flag("draining");
