Check the times that keep a task to one run as a whole

Cause: the leases, the limit of 1200 ms, the slack and the caller's 1300 ms stood in two option structs, and nothing checked their sums. With a worker's lease below 300 ms (worker.lease_ms allows 100) one did not hold: a guard whose stops are not carried out renews that lease until its home's last echo + 1200 ms, but the entry repeated the task after 700 + 100 + 200 ms.

Change: lease_terms.h names the times and checks the sums with static_assert; RunSupervisor asserts that its options keep to them.

With the defaults an unstopped run is over 1299 ms after the echo, computed, against 1300 ms; the time of release stays 1900 ms.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -630,11 +630,13 @@
 }
 
 // The guard stops the runs when its lease for this entry expires. If the guard
-// process has ended, the worker stops them when its own lease expires.
+// process has ended, or the worker carries out no stop, the worker's lease ends
+// them.
 void JobScheduler::OrphanRuns(const WorkerRecord& record, Instant since,
                               Instant now) {
-  const Instant release_at = since + options_.home_lease +
-                             options_.worker_lease + options_.lease_slack;
+  const Instant release_at =
+      since + ReleaseAfter(options_.home_lease, options_.worker_lease,
+                           options_.lease_slack);
   size_t count = 0;
   for (const uint64_t number : record.open_runs) {
     Run& run = runs_.at(number);
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/observer.h"
+#include "held/lease_terms.h"
 #include "held/worker_table.h"
 #include "quetzalspindle/catalog.h"
 #include "quetzalspindle/held_job.h"
@@ -26,11 +27,11 @@
   // same values. A guard that receives nothing from this entry for `home_lease`
   // has stopped the entry's runs, and a worker that receives nothing from its
   // guard for `worker_lease` has stopped them itself.
-  Millis home_lease{700};
-  Millis worker_lease{1000};
+  Millis home_lease = kHomeLease;
+  Millis worker_lease = kWorkerLease;
   // Added to the leases for timer ticks, the time of the stop itself, and slow
   // clocks.
-  Millis lease_slack{200};
+  Millis lease_slack = kReleaseSlack;
   // Interval of echoes to a guard that has runs but gets no orders or stops.
   Millis echo_interval{150};
   // A job that has not started is given up once it would end later than this
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -10,11 +10,6 @@
 namespace qs {
 namespace {
 
-// A worker's clock may run 2 % slow, so a lease may last that much longer.
-constexpr double kSlowestClock = 0.98;
-// Added to the lease duration for the transit time of a call to the worker and
-// for the worker's own delay.
-constexpr Millis kLeaseSlack{60};
 // A start call that gets no answer is repeated until this many were sent. After
 // that, the supervisor waits until the start's deadline has passed.
 constexpr uint32_t kMaxStartCalls = 3;
@@ -95,7 +90,12 @@
       last_answer_(now - options.silent_after),
       last_renewal_(now),
       clock_(options.longest_lease),
-      health_(options.health) {}
+      health_(options.health) {
+  assert(options.home_lease < options.unstopped_run_limit);
+  assert(options.unstopped_run_limit <= kUnstoppedRunLimit);
+  assert(options.silent_after <= kOldestClockReading);
+  assert(options.renew_until <= options.silent_after);
+}
 
 // Events of the worker.
 
@@ -994,8 +994,7 @@
 // When no renewal was sent for this long, the leases have expired and the
 // worker has ended its runs.
 Millis RunSupervisor::LeaseDuration() const {
-  return std::chrono::ceil<Millis>(options_.longest_lease / kSlowestClock) +
-         kLeaseSlack;
+  return OnSlowestClock(options_.longest_lease) + kWorkerDelay;
 }
 
 void RunSupervisor::CheckWorker(Instant now) {
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "held/fencing_token.h"
+#include "held/lease_terms.h"
 #include "held/worker_clock.h"
 #include "held/worker_health.h"
 #include "quetzalspindle/ids.h"
@@ -24,15 +25,14 @@
   std::string zone;  // The guard's availability zone, sent in reports.
   // Length of the leases that the guard asks for. It is the longest that the
   // worker grants; the worker would shorten a longer one.
-  Millis longest_lease{1000};
+  Millis longest_lease = kWorkerLease;
   // If the newest report that a home has echoed is older than this, the home
   // counts as unreachable: its runs are stopped and its orders refused.
-  Millis home_lease{700};
+  Millis home_lease = kHomeLease;
   // Longest time from the newest report that a home has echoed until a run of
   // the home has ended, even if the worker carries out no stop. The lease that
-  // all runs share is not extended beyond it. Less than the time after which a
-  // caller that lost its answer submits the job again.
-  Millis unstopped_run_limit{1200};
+  // all runs share is not extended beyond it. Entries rely on the same value.
+  Millis unstopped_run_limit = kUnstoppedRunLimit;
   // Nothing is started, and orders are refused, while the worker's lease cannot
   // be extended to this length.
   Millis shortest_lease{250};
@@ -49,7 +49,7 @@
   Millis loss_window{3000};
   // No run is started, and orders are refused, when the worker's last answer is
   // older than this.
-  Millis silent_after{900};
+  Millis silent_after = kOldestClockReading;
   // Polls renew leases only while the worker's last answer is younger than
   // this.
   Millis renew_until{600};
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -133,6 +133,23 @@
   EXPECT_EQ(orders_[1].first, second);
 }
 
+// Guards against two runs of one task: with a short lease of the worker, a
+// guard whose stops are not carried out renews it beyond the sum of the leases.
+TEST_F(JobSchedulerTest, AShortWorkerLeaseDoesNotReleaseARunEarly) {
+  JobSchedulerOptions options;
+  options.worker_lease = Millis(100);
+  JobScheduler scheduler{options, &observer_, &log_, 7, At(-10'000)};
+  scheduler.SetCatalog(MakeCatalog(), At(0));
+  scheduler.OnGuardUp(Address{1, 1}, kGuardA, At(0));
+  scheduler.OnReport(kGuardA, MakeReport(1), At(0));
+  scheduler.OnJob(1, MakeJob("a", 1), At(10), At(10));
+  ASSERT_EQ(scheduler.TakeActions(At(10)).size(), 1U);
+  for (int64_t ms = 20; ms <= 1250; ms += 10) scheduler.OnTimer(At(ms));
+  EXPECT_TRUE(scheduler.HasRunsAt(kGuardA));
+  for (int64_t ms = 1260; ms <= 1310; ms += 10) scheduler.OnTimer(At(ms));
+  EXPECT_FALSE(scheduler.HasRunsAt(kGuardA));
+}
+
 TEST_F(JobSchedulerTest,
        ARestartedGuardReleasesTheRunsOfItsEarlierIncarnationOnceSettled) {
   ConnectGuard(kGuardA, 0);
