Count no crash against a task whose start may have been lost before

Cause: a guard that sends a start to a worker which has just crashed gets no answer, and counted the task among those that ran there.

Change: WorkerLoss lists tasks with an unconfirmed start apart. Entries run these alone from then on, but count the crash only if nothing else was on the worker.

--- a/src/held/crash_ledger.cc
+++ b/src/held/crash_ledger.cc
@@ -9,11 +9,22 @@
 
 void CrashLedger::OnWorkerLoss(Address guard, const WorkerLoss& loss,
                                Instant now) {
-  for (const std::string& task : loss.tasks) Resolve(task, guard, loss, now);
+  const Outcome outcome =
+      loss.has_crashed ? Outcome::kCrashed : Outcome::kRefuted;
+  for (const std::string& task : loss.tasks) {
+    Resolve(task, guard, loss, outcome, now);
+  }
+  // Nothing else can have crashed a worker that ran nothing else.
+  const bool is_crash_of_others = loss.has_crashed && loss.task_count() > 1;
+  for (const std::string& task : loss.unconfirmed_tasks) {
+    Resolve(task, guard, loss,
+            is_crash_of_others ? Outcome::kPerhapsThere : outcome, now);
+  }
 }
 
 void CrashLedger::Resolve(const std::string& task, Address guard,
-                          const WorkerLoss& loss, Instant now) {
+                          const WorkerLoss& loss, Outcome outcome,
+                          Instant now) {
   Loss* resolved = nullptr;
   Loss* refuted = nullptr;
   if (const auto found = losses_of_task_.find(task);
@@ -28,15 +39,15 @@
       if (known.started_at != loss.started_at) continue;
       // A crash is final, and this is the same. A worker that went on after a
       // loss can still crash.
-      if (known.outcome == Outcome::kCrashed) return;
+      if (known.outcome != Outcome::kRefuted) return;
       refuted = &known;
     }
   }
   if (resolved == nullptr) resolved = refuted;
   if (resolved == nullptr) resolved = Add(task, guard, now);
-  resolved->outcome = loss.has_crashed ? Outcome::kCrashed : Outcome::kRefuted;
+  resolved->outcome = outcome;
   resolved->started_at = loss.started_at;
-  resolved->was_alone = loss.tasks.size() == 1;
+  resolved->was_alone = loss.task_count() == 1;
 }
 
 CrashLedger::Loss* CrashLedger::Add(const std::string& task, Address guard,
@@ -80,12 +91,15 @@
 CrashVerdict CrashLedger::Judge(const std::string& task, Instant now) const {
   int crashes = 0;
   int unresolved = 0;
+  bool was_perhaps_there = false;
   bool crashed_alone = false;
   bool was_alone = false;
   ForEachLossOf(task, now, [&](const Loss& loss) {
     if (loss.outcome == Outcome::kCrashed) {
       ++crashes;
       crashed_alone = crashed_alone || loss.was_alone;
+    } else if (loss.outcome == Outcome::kPerhapsThere) {
+      was_perhaps_there = true;
     } else if (loss.outcome == Outcome::kUnresolved &&
                now - loss.recorded_at <= options_.max_unresolved) {
       ++unresolved;
@@ -97,8 +111,8 @@
       (crashed_alone || was_alone)) {
     return CrashVerdict::kOnHold;
   }
-  return crashes + unresolved > 0 ? CrashVerdict::kSuspect
-                                  : CrashVerdict::kSound;
+  return crashes + unresolved > 0 || was_perhaps_there ? CrashVerdict::kSuspect
+                                                       : CrashVerdict::kSound;
 }
 
 std::string CrashLedger::CrashesUnder(const std::string& task,
--- a/src/held/crash_ledger.h
+++ b/src/held/crash_ledger.h
@@ -28,7 +28,8 @@
 // What the losses of workers under a task say about the task.
 enum class CrashVerdict : uint8_t {
   kSound,
-  kSuspect,    // A worker crashed, or may have crashed, while the task ran.
+  kSuspect,    // A worker crashed, or may have crashed, while the task ran or
+               // may have run.
   kOnHold,     // Convicted if the unresolved losses turn out to be crashes.
   kConvicted,  // Two workers crashed, and on one of them the task was alone.
 };
@@ -55,7 +56,13 @@
   size_t size() const { return losses_.size(); }
 
  private:
-  enum class Outcome : uint8_t { kUnresolved, kCrashed, kRefuted };
+  enum class Outcome : uint8_t {
+    kUnresolved,
+    kCrashed,
+    kPerhapsThere,  // The worker crashed, but the task's start may have been
+                    // lost before.
+    kRefuted
+  };
 
   // The loss of one worker while one task ran there.
   struct Loss {
@@ -69,7 +76,7 @@
 
   // Resolves the oldest unresolved loss of the task at this guard, if any.
   void Resolve(const std::string& task, Address guard, const WorkerLoss& loss,
-               Instant now);
+               Outcome outcome, Instant now);
   Loss* Add(const std::string& task, Address guard, Instant now);
   void RemoveOldest();
   bool IsForgotten(const Loss& loss, Instant now) const;
--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -604,7 +604,9 @@
                                {"started_at", Text(loss.started_at)},
                                {"crashed", loss.has_crashed ? "yes" : "no"},
                                {"tasks", Text(loss.tasks.size())}});
-  for (const std::string& task : loss.tasks) FollowVerdict(task, now);
+  for (const auto* tasks : {&loss.tasks, &loss.unconfirmed_tasks}) {
+    for (const std::string& task : *tasks) FollowVerdict(task, now);
+  }
 }
 
 void JobScheduler::FollowVerdict(const std::string& task_name, Instant now) {
--- a/src/held/loss_recorder.cc
+++ b/src/held/loss_recorder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 #include "held/decision_log.h"
 
@@ -30,7 +31,7 @@
     : options_(options), log_(log) {}
 
 void LossRecorder::Suspect(const WorkerIncarnation& worker,
-                           const std::vector<TaskAttempt>& runs,
+                           const std::vector<LostRun>& runs,
                            LossEvidence evidence, Instant now) {
   if (runs.empty() || worker.started_at == 0) return;
   auto suspicion = std::find_if(
@@ -38,23 +39,24 @@
       [&](const Suspicion& other) { return other.worker == worker; });
   if (suspicion == suspicions_.end()) {
     if (suspicions_.size() >= options_.max_losses) suspicions_.pop_front();
-    suspicions_.push_back({worker, now, {}, {}});
+    suspicions_.push_back({worker, now, {}, {}, {}});
     suspicion = std::prev(suspicions_.end());
   }
   const size_t known = suspicion->runs.size();
-  for (const TaskAttempt& run : runs) {
+  for (const auto& [run, is_confirmed] : runs) {
     if (std::find(suspicion->runs.begin(), suspicion->runs.end(), run) !=
         suspicion->runs.end()) {
       continue;
     }
     suspicion->runs.push_back(run);
     suspicion->open_runs.push_back(run);
+    if (is_confirmed) suspicion->confirmed_runs.push_back(run);
   }
   if (suspicion->runs.size() == known) return;
   log_->Record("worker_loss_suspected",
                {{"worker", worker.id},
                 {"started_at", Text(worker.started_at)},
-                {"tasks", JoinTasks(TasksOf(*suspicion))},
+                {"tasks", JoinTasks(TasksOf(suspicion->runs))},
                 {"evidence", std::string(LossEvidenceName(evidence))}});
 }
 
@@ -67,6 +69,7 @@
 void LossRecorder::RemoveRun(const TaskAttempt& run) {
   for (Suspicion& suspicion : suspicions_) {
     std::erase(suspicion.runs, run);
+    std::erase(suspicion.confirmed_runs, run);
     std::erase(suspicion.open_runs, run);
   }
   std::erase_if(suspicions_,
@@ -131,9 +134,10 @@
   return losses;
 }
 
-std::vector<std::string> LossRecorder::TasksOf(const Suspicion& suspicion) {
+std::vector<std::string> LossRecorder::TasksOf(
+    const std::vector<TaskAttempt>& runs) {
   std::vector<std::string> tasks;
-  for (const auto& [task, attempt] : suspicion.runs) tasks.push_back(task);
+  for (const auto& [task, attempt] : runs) tasks.push_back(task);
   std::sort(tasks.begin(), tasks.end());
   tasks.erase(std::unique(tasks.begin(), tasks.end()), tasks.end());
   return tasks;
@@ -141,11 +145,19 @@
 
 void LossRecorder::Resolve(const Suspicion& suspicion, bool has_crashed,
                            LossEvidence evidence, Instant now) {
-  WorkerLoss loss{suspicion.worker.started_at, has_crashed, TasksOf(suspicion)};
+  WorkerLoss loss{suspicion.worker.started_at,
+                  has_crashed,
+                  TasksOf(suspicion.confirmed_runs),
+                  {}};
+  const std::vector<std::string> all = TasksOf(suspicion.runs);
+  std::set_difference(all.begin(), all.end(), loss.tasks.begin(),
+                      loss.tasks.end(),
+                      std::back_inserter(loss.unconfirmed_tasks));
   log_->Record("worker_loss_resolved",
                {{"worker", suspicion.worker.id},
                 {"started_at", Text(loss.started_at)},
                 {"tasks", JoinTasks(loss.tasks)},
+                {"unconfirmed", JoinTasks(loss.unconfirmed_tasks)},
                 {"has_crashed", has_crashed ? "yes" : "no"},
                 {"evidence", std::string(LossEvidenceName(evidence))},
                 {"age_ms", Text(Elapsed(suspicion.began_at, now))}});
--- a/src/held/loss_recorder.h
+++ b/src/held/loss_recorder.h
@@ -37,6 +37,10 @@
 class LossRecorder {
  public:
   using TaskAttempt = std::pair<std::string, uint32_t>;
+  struct LostRun {
+    TaskAttempt run;
+    bool is_confirmed = false;  // The worker had confirmed its start.
+  };
 
   // `log` must outlive the recorder.
   LossRecorder(const LossRecorderOptions& options, DecisionLog* log);
@@ -45,7 +49,7 @@
   // if one is suspected already. Does nothing without runs, or if the start
   // time of the incarnation is not known.
   void Suspect(const WorkerIncarnation& worker,
-               const std::vector<TaskAttempt>& runs, LossEvidence evidence,
+               const std::vector<LostRun>& runs, LossEvidence evidence,
                Instant now);
   bool IsSuspected(const WorkerIncarnation& worker) const;
 
@@ -74,6 +78,7 @@
     Instant began_at;
     std::vector<TaskAttempt> runs;
     std::vector<TaskAttempt> open_runs;  // Those that have not ended.
+    std::vector<TaskAttempt> confirmed_runs;
   };
   struct Resolved {
     uint64_t number = 0;
@@ -81,7 +86,7 @@
     WorkerLoss loss;
   };
 
-  static std::vector<std::string> TasksOf(const Suspicion& suspicion);
+  static std::vector<std::string> TasksOf(const std::vector<TaskAttempt>& runs);
   void Resolve(const Suspicion& suspicion, bool has_crashed,
                LossEvidence evidence, Instant now);
 
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -734,12 +734,13 @@
 void RunSupervisor::SuspectLoss(LossEvidence evidence, Instant now) {
   if (!worker_ || !has_answered_ || HasLeaseExpired(now)) return;
   if (worker_->is_draining || is_withdrawn_) return;
-  std::vector<TaskAttempt> tasks;
+  std::vector<LossRecorder::LostRun> runs;
   for (const auto& [key, run] : runs_) {
     if (run.phase == Phase::kQueued) continue;
-    tasks.emplace_back(run.order.task, run.order.attempt);
+    runs.push_back(
+        {{run.order.task, run.order.attempt}, run.confirmed_at != Instant()});
   }
-  losses_.Suspect(worker_->incarnation, tasks, evidence, now);
+  losses_.Suspect(worker_->incarnation, runs, evidence, now);
 }
 
 void RunSupervisor::NoteEndOfLostRun(const Run& run, EndEvidence evidence) {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -261,8 +261,10 @@
       std::vector<Offset<fb::WorkerLoss>> rows;
       for (const WorkerLoss& loss : m.worker_losses) {
         const auto tasks = b->CreateVectorOfStrings(loss.tasks);
-        rows.push_back(
-            fb::CreateWorkerLoss(*b, loss.started_at, loss.has_crashed, tasks));
+        const auto unconfirmed =
+            b->CreateVectorOfStrings(loss.unconfirmed_tasks);
+        rows.push_back(fb::CreateWorkerLoss(
+            *b, loss.started_at, loss.has_crashed, tasks, unconfirmed));
       }
       losses = b->CreateVector(rows);
     }
@@ -542,8 +544,9 @@
            ReasonFromWire(end.reason()), Millis(end.run_time_ms())});
     });
     ForEach(m.worker_losses(), [&](const fb::WorkerLoss& loss) {
-      out.worker_losses.push_back(
-          {loss.started_at(), loss.has_crashed(), Texts(loss.tasks())});
+      out.worker_losses.push_back({loss.started_at(), loss.has_crashed(),
+                                   Texts(loss.tasks()),
+                                   Texts(loss.unconfirmed_tasks())});
     });
     return out;
   }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -227,6 +227,11 @@
   // or it left as announced.
   bool has_crashed = false;
   std::vector<std::string> tasks;  // Tasks that ran at the time, of all homes.
+  // Tasks whose start the worker had not confirmed, so that it may have been
+  // lost before.
+  std::vector<std::string> unconfirmed_tasks{};
+
+  size_t task_count() const { return tasks.size() + unconfirmed_tasks.size(); }
 };
 
 // From a guard to an entry: the state of the guard's worker, and the ends of
