Count an unconfirmed start as no crash even where nothing else ran

Cause: a worker may have crashed for another reason just before the only start that was sent to it.

Change: such a task is run alone again, and nothing is counted. A task that crashes its worker before the worker can confirm the start is therefore not given up; it is bounded by its caller's deadline.

--- a/src/held/crash_ledger.cc
+++ b/src/held/crash_ledger.cc
@@ -14,11 +14,9 @@
   for (const std::string& task : loss.tasks) {
     Resolve(task, guard, loss, outcome, now);
   }
-  // Nothing else can have crashed a worker that ran nothing else.
-  const bool is_crash_of_others = loss.has_crashed && loss.task_count() > 1;
   for (const std::string& task : loss.unconfirmed_tasks) {
     Resolve(task, guard, loss,
-            is_crash_of_others ? Outcome::kPerhapsThere : outcome, now);
+            loss.has_crashed ? Outcome::kPerhapsThere : outcome, now);
   }
 }
 
