--- a/src/held/loss_recorder.cc
+++ b/src/held/loss_recorder.cc
@@ -137,6 +137,7 @@
 std::vector<std::string> LossRecorder::TasksOf(
     const std::vector<TaskAttempt>& runs) {
   std::vector<std::string> tasks;
+  tasks.reserve(runs.size());
   for (const auto& [task, attempt] : runs) tasks.push_back(task);
   std::sort(tasks.begin(), tasks.end());
   tasks.erase(std::unique(tasks.begin(), tasks.end()), tasks.end());
