Give up tasks that crash each worker before it confirms their start

Cause: a crash counts against a task only if the worker had confirmed its start, as the start may have reached a worker that had crashed for another reason. A task that crashes its worker before the answer was therefore started again until its caller's deadline, whatever it cost in workers.

Change: three crashes convict as well if two of the workers had nothing but an unconfirmed start of the task. One such start may have come too late, several will not. A task waits while its unresolved losses may add up to that.

--- a/src/held/crash_ledger.cc
+++ b/src/held/crash_ledger.cc
@@ -1,6 +1,14 @@
 #include "held/crash_ledger.h"
 
 namespace qs {
+namespace {
+
+// See CrashVerdict::kConvicted.
+constexpr int kCrashes = 2;
+constexpr int kUnconfirmedAlone = 2;
+constexpr int kCrashesIfUnconfirmed = 3;
+
+}  // namespace
 
 void CrashLedger::OnRunLost(const std::string& task, Address guard,
                             bool was_alone, Instant now) {
@@ -86,42 +94,67 @@
   }
 }
 
-CrashVerdict CrashLedger::Judge(const std::string& task, Instant now) const {
-  int crashes = 0;
-  int unresolved = 0;
-  bool was_perhaps_there = false;
-  bool crashed_alone = false;
-  bool was_alone = false;
+CrashLedger::Count CrashLedger::CountLosses(const std::string& task,
+                                            Instant now) const {
+  Count count;
   ForEachLossOf(task, now, [&](const Loss& loss) {
-    if (loss.outcome == Outcome::kCrashed) {
-      ++crashes;
-      crashed_alone = crashed_alone || loss.was_alone;
-    } else if (loss.outcome == Outcome::kPerhapsThere) {
-      was_perhaps_there = true;
-    } else if (loss.outcome == Outcome::kUnresolved &&
-               now - loss.recorded_at <= options_.max_unresolved) {
-      ++unresolved;
-      was_alone = was_alone || loss.was_alone;
+    switch (loss.outcome) {
+      case Outcome::kCrashed:
+        ++count.crashes;
+        count.crashed_alone += loss.was_alone ? 1 : 0;
+        return;
+      case Outcome::kPerhapsThere:
+        ++count.unconfirmed;
+        count.unconfirmed_alone += loss.was_alone ? 1 : 0;
+        return;
+      case Outcome::kUnresolved:
+        if (now - loss.recorded_at > options_.max_unresolved) return;
+        ++count.unresolved;
+        count.unresolved_alone += loss.was_alone ? 1 : 0;
+        return;
+      case Outcome::kRefuted:
+        return;
     }
   });
-  if (crashes >= 2 && crashed_alone) return CrashVerdict::kConvicted;
-  if (unresolved > 0 && crashes + unresolved >= 2 &&
-      (crashed_alone || was_alone)) {
-    return CrashVerdict::kOnHold;
+  return count;
+}
+
+bool CrashLedger::IsConvicted(const Count& count) {
+  if (count.crashes >= kCrashes && count.crashed_alone > 0) return true;
+  return count.unconfirmed_alone >= kUnconfirmedAlone &&
+         count.crashes + count.unconfirmed_alone >= kCrashesIfUnconfirmed;
+}
+
+CrashVerdict CrashLedger::Judge(const std::string& task, Instant now) const {
+  const Count count = CountLosses(task, now);
+  if (IsConvicted(count)) return CrashVerdict::kConvicted;
+  if (count.unresolved > 0) {
+    Count if_crashed = count;
+    if_crashed.crashes += count.unresolved;
+    if_crashed.crashed_alone += count.unresolved_alone;
+    Count if_unconfirmed = count;
+    if_unconfirmed.crashes += count.unresolved - count.unresolved_alone;
+    if_unconfirmed.unconfirmed_alone += count.unresolved_alone;
+    if (IsConvicted(if_crashed) || IsConvicted(if_unconfirmed)) {
+      return CrashVerdict::kOnHold;
+    }
   }
-  return crashes + unresolved > 0 || was_perhaps_there ? CrashVerdict::kSuspect
-                                                       : CrashVerdict::kSound;
+  return count.crashes + count.unresolved + count.unconfirmed > 0
+             ? CrashVerdict::kSuspect
+             : CrashVerdict::kSound;
 }
 
 std::string CrashLedger::CrashesUnder(const std::string& task,
                                       Instant now) const {
   std::string text;
   ForEachLossOf(task, now, [&](const Loss& loss) {
-    if (loss.outcome != Outcome::kCrashed) return;
+    const bool is_confirmed = loss.outcome == Outcome::kCrashed;
+    if (!is_confirmed && loss.outcome != Outcome::kPerhapsThere) return;
     if (!text.empty()) text += ", ";
     text += loss.guard.ToString() + " worker of " +
             std::to_string(loss.started_at) +
-            (loss.was_alone ? " alone" : " with others");
+            (loss.was_alone ? " alone" : " with others") +
+            (is_confirmed ? "" : " unconfirmed");
   });
   return text;
 }
--- a/src/held/crash_ledger.h
+++ b/src/held/crash_ledger.h
@@ -28,10 +28,14 @@
 // What the losses of workers under a task say about the task.
 enum class CrashVerdict : uint8_t {
   kSound,
-  kSuspect,    // A worker crashed, or may have crashed, while the task ran or
-               // may have run.
-  kOnHold,     // Convicted if the unresolved losses turn out to be crashes.
-  kConvicted,  // Two workers crashed, and on one of them the task was alone.
+  kSuspect,  // A worker crashed, or may have crashed, while the task ran or
+             // may have run.
+  kOnHold,   // Convicted if the unresolved losses turn out to be crashes.
+  // Two workers crashed, and on one of them the task was alone. Or three did,
+  // and two of them had nothing but a start of the task that they had not
+  // confirmed: one such start may have come too late, as the worker had crashed
+  // for another reason.
+  kConvicted,
 };
 
 // Remembers which tasks ran on workers when these crashed. A loss begins
@@ -74,6 +78,18 @@
     bool was_alone = false;   // No other task ran on the worker.
   };
 
+  // Losses under a task by outcome, and those of them in which it was alone.
+  struct Count {
+    int crashes = 0;
+    int crashed_alone = 0;
+    int unconfirmed = 0;  // Of kPerhapsThere.
+    int unconfirmed_alone = 0;
+    int unresolved = 0;
+    int unresolved_alone = 0;
+  };
+
+  static bool IsConvicted(const Count& count);
+  Count CountLosses(const std::string& task, Instant now) const;
   // Resolves the oldest unresolved loss of the task at this guard, if any.
   void Resolve(const std::string& task, Address guard, const WorkerLoss& loss,
                Outcome outcome, Instant now);
--- a/tests/crash_ledger_test.cc
+++ b/tests/crash_ledger_test.cc
@@ -30,6 +30,12 @@
     if (!was_alone) loss.tasks.emplace_back("neighbour");
     ledger_.OnWorkerLoss(guard, loss, At(ms));
   }
+  void ResolveUnconfirmed(Address guard, bool was_alone,
+                          uint64_t started_at = 1) {
+    WorkerLoss loss{started_at, true, {}, {"t"}};
+    if (!was_alone) loss.tasks.emplace_back("neighbour");
+    ledger_.OnWorkerLoss(guard, loss, At(0));
+  }
   CrashVerdict Verdict(int64_t ms = 0) { return ledger_.Judge("t", At(ms)); }
 
   CrashLedger ledger_{Options()};
@@ -56,6 +62,40 @@
   EXPECT_EQ(Verdict(), CrashVerdict::kSuspect);
 }
 
+// Guards against a task that crashes one worker after another before any of
+// them confirms its start.
+TEST_F(CrashLedgerTest, ThreeCrashesWithNothingButAnUnconfirmedStartConvict) {
+  ResolveUnconfirmed(kGuardA, true);
+  EXPECT_EQ(Verdict(), CrashVerdict::kSuspect);
+  ResolveUnconfirmed(kGuardB, true);
+  EXPECT_EQ(Verdict(), CrashVerdict::kSuspect);
+  ResolveUnconfirmed(kGuardC, true);
+  EXPECT_EQ(Verdict(), CrashVerdict::kConvicted);
+  EXPECT_EQ(ledger_.CrashesUnder("t", At(0)),
+            "0.0.0.1:101 worker of 1 alone unconfirmed, "
+            "0.0.0.1:102 worker of 1 alone unconfirmed, "
+            "0.0.0.1:103 worker of 1 alone unconfirmed");
+}
+
+TEST_F(CrashLedgerTest, TwoUnconfirmedStartsAloneAndACrashConvict) {
+  ResolveUnconfirmed(kGuardA, true);
+  Resolve(kGuardB, true, false);
+  EXPECT_EQ(Verdict(), CrashVerdict::kSuspect);
+  ResolveUnconfirmed(kGuardC, true);
+  EXPECT_EQ(Verdict(), CrashVerdict::kConvicted);
+}
+
+// Guards against a sound task that is given up because its starts were sent to
+// workers that had just crashed under others.
+TEST_F(CrashLedgerTest, UnconfirmedStartsBesideOthersDoNotConvict) {
+  Resolve(kGuardA, true, false);
+  for (uint64_t started_at = 2; started_at < 6; ++started_at) {
+    ResolveUnconfirmed(kGuardB, false, started_at);
+  }
+  ResolveUnconfirmed(kGuardC, true);
+  EXPECT_EQ(Verdict(), CrashVerdict::kSuspect);
+}
+
 TEST_F(CrashLedgerTest, ARefutedLossDoesNotCount) {
   Resolve(kGuardA, true, true);
   Lose(kGuardB, true);
