Start a run that must be alone beside orders that wait for it

Cause: an order that waits for another run of its task is in runs_ but not in queue_, so that a worker with such an order never counted as idle. If the order must be alone too, it waits in turn for the queued run that must be alone: neither started, and the guard refused all orders, until one of their deadlines or until a home left.

Change: only started runs keep a worker from being idle, here and for immediate polls.

Measured: ARunThatMustBeAloneStartsBesideAWaitingOrder failed before (nothing started) and passes now; run_supervisor_test passes (72).

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -455,8 +455,7 @@
 }
 
 bool RunSupervisor::HasRoomFor(const RunOrder& order) const {
-  const bool is_idle = runs_.size() == queue_.size();
-  if (order.must_run_alone && !is_idle) return false;
+  if (order.must_run_alone && HasStartedRuns()) return false;
   if (lone_run_ && runs_.at(*lone_run_).phase != Phase::kQueued) return false;
   return order.need.FitsIn(FreeCapacity());
 }
@@ -1283,7 +1282,7 @@
 void RunSupervisor::OnStartsAwaitPoll() { must_poll_now_ = true; }
 
 bool RunSupervisor::NeedsImmediatePoll(Instant now) const {
-  if (immediate_poll_in_flight_ || runs_.size() == queue_.size()) return false;
+  if (immediate_poll_in_flight_ || !HasStartedRuns()) return false;
   if (must_poll_now_) return true;
   const bool lost_recently = now - last_lost_poll_ < options_.loss_window;
   const Millis after = lost_recently ? options_.immediate_poll_after_loss
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -236,6 +236,9 @@
   void OnCapacityChanged(Instant now);
   // Whether the order could start now if nothing was queued before it.
   bool HasRoomFor(const RunOrder& order) const;
+  bool HasStartedRuns() const {
+    return runs_.size() > queue_.size() + waiting_.size();
+  }
   Resources FreeCapacity() const;
   uint32_t CountRunsOfStep(Incarnation home, uint32_t step_tag) const;
   void StartReady(Instant now);
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -1360,6 +1360,28 @@
   EXPECT_EQ(starts_[2].call.task, "waiting");
 }
 
+// Guards against a worker that idles until the caller's deadline: a queued run
+// that must be alone waits for another that waits for it.
+TEST_F(RunSupervisorTest, ARunThatMustBeAloneStartsBesideAWaitingOrder) {
+  StartRun(10, MakeOrder(1, "t1"));
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeLoneOrder(1, "t1"), MakeLoneOrder(2, "t2")};
+  orders.orders[0].attempt = 2;
+  supervisor_.OnOrders(kOtherSession, orders, At(20));
+  CollectActions(20);
+  EXPECT_EQ(starts_.size(), 1U);
+  AnswerPoll(60, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "t2");
+  AcceptStart(starts_[1], 61);
+  AnswerPoll(90, {}, {{2, "t2", 1, RunEnding::kDone}});
+  ASSERT_EQ(starts_.size(), 3U);
+  EXPECT_EQ(starts_[2].call.task, "t1");
+}
+
 // Capacity that changes.
 
 // Guards against orders that wait for capacity that the worker no longer has.
