Give back orders that no longer fit when they need not wait any more

Cause: an order that waits for another run of its task was queued after that run even if the worker's capacity had shrunk below it meanwhile. It could never start, and nothing else was accepted behind it, until its caller's deadline.

Change: it is given back in its turn. Not sooner, as it would start elsewhere beside the other run.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -433,6 +433,12 @@
              EndEvidence::kNotSent);
       continue;
     }
+    // The capacity may have shrunk while the order waited.
+    if (worker_ && !run.order.need.FitsIn(worker_->capacity)) {
+      EndRun(key, RunOutcome::kNotStarted, Reason::kConstraintUnmet, Millis(0),
+             EndEvidence::kNotSent);
+      continue;
+    }
     std::erase(waiting_, key);
     Enqueue(&run);
   }
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -1382,6 +1382,27 @@
   EXPECT_EQ(starts_[2].call.task, "t1");
 }
 
+// Guards against a worker that idles: an order that waits for another run no
+// longer fits, and blocks the queue once that run has ended.
+TEST_F(RunSupervisorTest, AWaitingOrderThatNoLongerFitsIsGivenBackInItsTurn) {
+  StartRun(10, MakeOrder(1, "t1"));
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "t1")};
+  orders.orders[0].attempt = 2;
+  supervisor_.OnOrders(kOtherSession, orders, At(20));
+  supervisor_.OnAnnouncement(MakeAnnouncement(1000, 2, 2000), At(30));
+  CollectActions(30);
+  // It would start elsewhere beside the other run.
+  EXPECT_TRUE(ends_.empty());
+  AnswerPoll(60, {}, {{1, "t1", 1, RunEnding::kDone}});
+  ASSERT_EQ(ends_.size(), 2U);
+  EXPECT_EQ(ends_[1].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[1].reason, Reason::kConstraintUnmet);
+}
+
 // Capacity that changes.
 
 // Guards against orders that wait for capacity that the worker no longer has.
