Start no run whose limit the lease in force outlasts

Cause: LeaseLimit covers the runs that have started when a call extends the worker's lease. A run that starts later shares a lease that was extended for other homes' runs before: with an echo that is up to 700 ms old it lives, if no stop is carried out, until its echo + 1700 ms (and the error of the clocks), not + 1200 ms.

Change: queued runs limit the lease as started ones do, and a run starts only once the lease in force fits its own limit, that is, mostly at once, or with its home's next echo.

AStartIsOverOnlyWhenAllItsCopiesAre made the limit fall with a start that is refused now; a stop that was held up makes it fall instead, with the same times and expectations.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -262,7 +262,6 @@
 Instant RunSupervisor::LeaseLimit(Instant now) const {
   Instant limit = now + options_.longest_lease;
   for (const auto& [key, run] : runs_) {
-    if (run.phase == Phase::kQueued) continue;
     if (run.must_end_by) limit = std::min(limit, *run.must_end_by);
     const auto session = sessions_.find(run.session);
     assert(run.must_end_by || session != sessions_.end());
@@ -283,6 +282,11 @@
   lease_end_ = std::max(lease_end_, deadline);
 }
 
+bool RunSupervisor::DoesLeaseOutlast(Instant limit, Instant now) const {
+  const std::optional<Millis> worker_now = clock_.At(now);
+  return worker_now && lease_end_ > *worker_now + Elapsed(now, limit);
+}
+
 Millis RunSupervisor::LeaseLeft(Instant now) const {
   return lease_end_ - clock_.At(now).value_or(Millis(0));
 }
@@ -517,6 +521,11 @@
       ++i;  // CheckHomes ends the run as not started.
       continue;
     }
+    if (DoesLeaseOutlast(EchoTime(home->second) + options_.unstopped_run_limit,
+                         now)) {
+      ++i;
+      continue;
+    }
     if (!HasRoomFor(run.order)) {
       // Smaller tasks must not delay a large one past the time by which it must
       // start.
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -287,8 +287,11 @@
   // be extended.
   std::optional<Millis> LeaseDeadline(Instant now) const;
   // Returns until when the worker's lease may be extended. All runs share the
-  // lease, so the run that must end first determines it.
+  // lease, so the run that must end first determines it. Queued runs count, as
+  // none may start while the lease outlasts its limit.
   Instant LeaseLimit(Instant now) const;
+  // Whether a lease that was asked for before lasts beyond `limit`.
+  bool DoesLeaseOutlast(Instant limit, Instant now) const;
   // Records that a call asks for a lease until `deadline`; zero asks for none.
   void NoteRenewal(Millis deadline, Instant now);
   void OnFenced(uint64_t refused_fence);
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -157,12 +157,17 @@
   ASSERT_EQ(starts_.size(), 1U);
   const Millis first_deadline = starts_[0].call.deadline;
   RunOrders orders;
-  orders.echo = 10'013;  // The report of 12 ms.
+  orders.echo = reports_[kOtherSession].stamp;
   orders.orders = {MakeOrder(2, "t2")};
   supervisor_.OnOrders(kOtherSession, orders, At(615));
   CollectActions(615);
   ASSERT_EQ(starts_.size(), 2U);
   AcceptStart(starts_[1], 616);
+  orders.echo = 10'013;  // The report of 12 ms.
+  orders.orders.clear();
+  orders.stops = {2};
+  supervisor_.OnOrders(kOtherSession, orders, At(617));
+  CollectActions(617);
   for (const int64_t ms : {690, 770, 850}) {
     supervisor_.OnStartReply(starts_[ms == 690 ? 0 : starts_.size() - 1],
                              {WorkerVerdict::kNoAnswer, std::nullopt}, At(ms));
@@ -184,6 +189,56 @@
   EXPECT_EQ(end_of_first(), 1);
 }
 
+// Guards against two runs of one task: a lease that was extended for other runs
+// before a run started must not keep it for longer than its home counts on.
+TEST_F(RunSupervisorTest, ALeaseFromBeforeItsStartDoesNotOutliveARunsLimit) {
+  StartRun(10, MakeOrder(1, "t1"));
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "t2")};
+  Millis lease_end{0};
+  const auto pass_time = [&](int64_t ms) {
+    AnswerPoll(ms, {{"t1", 1, static_cast<uint32_t>(ms / 10)}}, {});
+    EchoReport(kSession, ms);
+    supervisor_.OnTimer(At(ms));
+    CollectActions(ms);
+    lease_end =
+        std::max(lease_end, long_poll_.call.deadline.value_or(Millis(0)));
+  };
+  for (int64_t ms = 100; ms <= 500; ms += 100) pass_time(ms);
+  ASSERT_EQ(lease_end, Millis(100'500 + 1000));
+  supervisor_.OnOrders(kOtherSession, orders, At(510));
+  CollectActions(510);
+  for (int64_t ms = 510; ms <= 700 && starts_.size() == 1; ms += 10) {
+    pass_time(ms);
+  }
+  // The home's newest echo is of 12 ms.
+  const Millis limit(100'012 + 1200);
+  EXPECT_TRUE(starts_.size() == 1 || lease_end <= limit);
+}
+
+// The same run starts once its home echoes a newer report.
+TEST_F(RunSupervisorTest, ARunStartsOnceTheLeaseInForceFitsItsLimit) {
+  StartRun(10, MakeOrder(1, "t1"));
+  supervisor_.OnSessionUp(kOtherSession, kOtherHome, At(12));
+  CollectActions(12);
+  RunOrders orders;
+  orders.echo = reports_[kOtherSession].stamp;
+  orders.orders = {MakeOrder(1, "t2")};
+  CollectActions(290);
+  EchoReport(kSession, 295);
+  AnswerPoll(300, {{"t1", 1, 30}}, {});
+  // The lease is asked for until 1300 ms, the run is limited to 1212 ms.
+  supervisor_.OnOrders(kOtherSession, orders, At(310));
+  CollectActions(310);
+  EXPECT_EQ(starts_.size(), 1U);
+  EchoReport(kOtherSession, 320);
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].call.task, "t2");
+}
+
 TEST_F(RunSupervisorTest, AStartDoesNotOutliveItsLease) {
   PlaceOrders(10, {MakeOrder(1, "t1")});
   ASSERT_EQ(starts_.size(), 1U);
