Start nothing while the worker's clock is not known

Cause: after a suspension the guard forgets the worker's clock, but an order with a new echo started before the next poll was answered. Such a start bears the deadline 0. That a worker takes 0 for a time that has passed, and not for a missing field, is an assumption that nothing checks.

Change: the worker counts as absent until a reading of its clock is there.

Measured: NothingStartsWhileTheWorkersClockIsNotKnown failed before and passes now; run_supervisor_test passes (76).

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -1172,6 +1172,8 @@
   // The announcement may be a late one of an earlier incarnation, and starts
   // would be carried out by the present one.
   if (!has_answered_) return ServingState::kAbsent;
+  // No deadline can be given to a start.
+  if (!clock_.At(now)) return ServingState::kAbsent;
   if (refuses_connections_ || is_withdrawn_) return ServingState::kAbsent;
   if (now - last_answer_ > options_.silent_after) return ServingState::kAbsent;
   // The worker does not carry out a stop, so its lease is about to expire.
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -378,6 +378,20 @@
   EXPECT_LE(starts_[0].call.deadline, Millis(100'110 + 1000));
 }
 
+// Guards against a start whose deadline means nothing: the worker's clock is
+// not known after a suspension.
+TEST_F(RunSupervisorTest, NothingStartsWhileTheWorkersClockIsNotKnown) {
+  CollectActions(390);
+  AnswerPoll(400, {}, {});
+  EchoReport(kSession, 400);
+  supervisor_.OnSuspended(At(410));
+  CollectActions(420);
+  CollectActions(620);
+  EchoReport(kSession, 621);
+  PlaceOrders(622, {MakeOrder(1, "t1")});
+  EXPECT_TRUE(starts_.empty());
+}
+
 TEST_F(RunSupervisorTest, RefusesAnOrderWhoseHomeEchoesAnOldReport) {
   supervisor_.OnOrders(kSession,
                        {reports_[kSession].stamp, {}, {MakeOrder(1, "t1")}, {}},
