Keep a confirmed run in the loss although a late start ran again

Cause: when the next incarnation of a worker carried out a further copy of a start and listed the run or its end, the run was removed from the loss of the incarnation before, even if that one had confirmed it. A deadly task so escaped the count, and its neighbour was told to have been alone at the crash, which is what convicts a task.

Change: a listing by the next incarnation removes a run only if the run had one start call and no earlier incarnation had confirmed it.

--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -763,12 +763,18 @@
     case EndEvidence::kNotSent:
       return;
     case EndEvidence::kStartRefused:
-    case EndEvidence::kEndListed:
       losses_.RemoveRun(task);
       return;
+    case EndEvidence::kEndListed:
+      if (WasOnNoOther(run)) {
+        losses_.RemoveRun(task);
+        return;
+      }
+      [[fallthrough]];
     case EndEvidence::kNotListed:
     case EndEvidence::kDeadlinePassed:
-      // What another incarnation does not list may have been on the lost one.
+      // What another incarnation does not list, or carried out from a further
+      // copy of the start, may have been on the lost one.
       if (worker_ && losses_.IsSuspected(worker_->incarnation)) {
         losses_.RemoveRun(task);
         return;
@@ -781,6 +787,10 @@
   losses_.OnRunEnded(task);
 }
 
+bool RunSupervisor::WasOnNoOther(const Run& run) {
+  return run.start_calls == 1 && run.confirmed_at == Instant();
+}
+
 Reason RunSupervisor::LostReason() const {
   return worker_ && losses_.IsSuspected(worker_->incarnation)
              ? Reason::kWorkerDown
@@ -937,9 +947,7 @@
       continue;
     }
     Run& run = runs_.at(key->second);
-    // The only start call of the run was carried out by this incarnation, so
-    // the run was not on an earlier one.
-    if (run.start_calls == 1 && !losses_.IsSuspected(worker_->incarnation)) {
+    if (WasOnNoOther(run) && !losses_.IsSuspected(worker_->incarnation)) {
       losses_.RemoveRun(key->first);
     }
     run.may_have_started = true;
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -264,6 +264,9 @@
   // ended before.
   void SuspectLoss(LossEvidence evidence, Instant now);
   void NoteEndOfLostRun(const Run& run, EndEvidence evidence);
+  // Whether a run that the present incarnation of the worker lists for the
+  // first time was on no earlier one: the only start call was carried out here.
+  static bool WasOnNoOther(const Run& run);
   Reason LostReason() const;
   // Ends a run whose worker is lost.
   void EndLostRun(RunKey key, EndEvidence evidence);
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -1318,6 +1318,41 @@
   EXPECT_TRUE(losses_[kSession].empty());
 }
 
+// Guards against a sound task that is taken for the only one at a crash: the
+// next incarnation lists the end of a late copy of its neighbour's start.
+TEST_F(RunSupervisorTest, ARunThatTheNextIncarnationEndedWasOnTheLostOneToo) {
+  StartRun(10, MakeOrder(1, "sound"));
+  PlaceOrders(12, {MakeOrder(2, "deadly")});
+  supervisor_.OnStartReply(starts_.back(),
+                           {WorkerVerdict::kNoAnswer, std::nullopt}, At(30));
+  CollectActions(30);
+  ASSERT_EQ(starts_.size(), 3U);
+  AcceptStart(starts_.back(), 31);
+  RestartWorker(100, 2000);
+  AnswerPoll(120, {}, {{1, "deadly", 1, RunEnding::kInterrupted}});
+  if (losses_[kSession].empty()) AnswerPoll(130, {}, {});
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_TRUE(losses_[kSession][0].has_crashed);
+  EXPECT_EQ(losses_[kSession][0].tasks,
+            (std::vector<std::string>{"deadly", "sound"}));
+}
+
+// The same with a second copy of the neighbour's only start call.
+TEST_F(RunSupervisorTest, ARunThatWasConfirmedBelongsToTheLoss) {
+  StartRun(10, MakeOrder(1, "sound"));
+  PlaceOrders(12, {MakeOrder(2, "deadly")});
+  AnswerPoll(20, {{"deadly", 1, 1}, {"sound", 1, 1}}, {});
+  supervisor_.OnStartReply(starts_.back(),
+                           {WorkerVerdict::kNoAnswer, std::nullopt}, At(30));
+  RestartWorker(100, 2000);
+  AnswerPoll(110, {{"deadly", 1, 1}}, {});
+  AnswerPoll(120, {}, {{1, "deadly", 1, RunEnding::kInterrupted}});
+  if (losses_[kSession].empty()) AnswerPoll(130, {}, {});
+  ASSERT_EQ(losses_[kSession].size(), 1U);
+  EXPECT_EQ(losses_[kSession][0].tasks,
+            (std::vector<std::string>{"deadly", "sound"}));
+}
+
 // An answer to a poll that was sent before the refusal says nothing about it.
 TEST_F(RunSupervisorTest, AnAnswerThatWasUnderWayDoesNotRefuteTheLoss) {
   StartRun(10, MakeOrder(1, "t1"));
