Count the connected workers once a dispatch, not once a waiting suspect

Cause: each round of dispatch asked for each waiting suspect how many may run, which walks all guards. The round goes over all waiting suspects, as other tasks may pass them.

Change: the limit is read once a round.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -412,6 +412,7 @@
   if (IsAfterPause(now)) return;
   int failed_placements = 0;
   int failed_suspects = 0;
+  const size_t max_runs_alone = MaxRunsAlone();
   for (auto item = waiting_.begin();
        item != waiting_.end() && failed_placements < kMaxFailedPlacements;) {
     const WaitingTask next = *item++;
@@ -423,17 +424,18 @@
             CrashVerdict::kSound;
     if (!is_suspect) {
       if (!DispatchTask(&job, next.task, false, now)) ++failed_placements;
-    } else if (failed_suspects < kMaxFailedPlacements && MayStartSuspect()) {
+    } else if (failed_suspects < kMaxFailedPlacements &&
+               runs_alone_ < max_runs_alone) {
       // Counted apart, so that suspects do not keep other tasks waiting.
       if (!DispatchTask(&job, next.task, true, now)) ++failed_suspects;
     }
   }
 }
 
-bool JobScheduler::MayStartSuspect() const {
-  const size_t limit = std::max<size_t>(
+size_t JobScheduler::MaxRunsAlone() const {
+  if (crashes_.is_empty()) return 0;
+  return std::max<size_t>(
       workers_.CountConnected() / options_.workers_per_suspect, 1);
-  return runs_alone_ < limit;
 }
 
 WorkerRecord* JobScheduler::PlaceTask(const Job& job, const Task& task,
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -228,8 +228,8 @@
   // Chooses a worker for the task. Returns null if none can take it now.
   WorkerRecord* PlaceTask(const Job& job, const Task& task, bool must_run_alone,
                           Instant now, Incarnation* guard);
-  // Whether one more suspect task may have an open run.
-  bool MayStartSuspect() const;
+  // Number of suspect tasks that may have an open run at a time.
+  size_t MaxRunsAlone() const;
   void OnWorkerLoss(Address guard, const WorkerLoss& loss, Instant now);
   // Follows a change of the ledger: gives the job of a convicted task up, and
   // puts a waiting task on hold or the reverse.
