--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -107,7 +107,7 @@
     ReasonRow{Reason::kRunStalled, "run_stalled", kFailed,
               "the run made too little progress and was ended"},
     ReasonRow{Reason::kCrashesWorkers, "crashes_workers", kFailed,
-              "two workers crashed while they ran the same task of the job"},
+              "workers crashed one after another under the same task of the job"},
     ReasonRow{Reason::kBackendDisconnected, "backend_disconnected", kUnknown,
               "the backend server closed the connection without an answer"},
     ReasonRow{Reason::kBackendTimeout, "backend_timeout", kUnknown,
