Count tasks that run alone as no work ahead of others

Cause: suspects start in limited numbers, each on a worker of its own, but waited in the queue of all tasks.

Change: suspects wait in a set of their own, which is dispatched after the other tasks. Verdicts are no longer asked for each waiting task.

WaitingSuspectsAreNoWorkAheadOfOtherJobs failed before and passes now.

--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -331,26 +331,35 @@
          options_.priority_delay * job.priority;
 }
 
+CrashVerdict JobScheduler::VerdictOn(const Job& job, const Task& task,
+                                     Instant now) const {
+  if (crashes_.is_empty()) return CrashVerdict::kSound;
+  return crashes_.Judge(TaskName(job.spec.id, task.step, task.index), now);
+}
+
 void JobScheduler::Enqueue(Job* job, uint32_t index, Instant now) {
   Task& task = job->tasks[index];
-  if (!crashes_.is_empty()) {
+  const CrashVerdict verdict = VerdictOn(*job, task, now);
+  if (verdict == CrashVerdict::kOnHold) {
     const std::string name = TaskName(job->spec.id, task.step, task.index);
-    if (crashes_.Judge(name, now) == CrashVerdict::kOnHold) {
-      task.phase = TaskPhase::kOnHold;
-      on_hold_.emplace(job->number, index);
-      log_->Record("task_on_hold",
-                   {{"task", name},
-                    {"attempt", Text(task.attempt)},
-                    {"crashes", crashes_.CrashesUnder(name, now)}});
-      return;
-    }
+    task.phase = TaskPhase::kOnHold;
+    on_hold_.emplace(job->number, index);
+    log_->Record("task_on_hold",
+                 {{"task", name},
+                  {"attempt", Text(task.attempt)},
+                  {"crashes", crashes_.CrashesUnder(name, now)}});
+    return;
   }
   task.phase = TaskPhase::kWaiting;
-  waiting_.insert({StartByOf(*job, task), job->number, index});
+  auto& queue = verdict == CrashVerdict::kSound ? waiting_ : suspects_;
+  queue.insert({StartByOf(*job, task), job->number, index});
 }
 
 void JobScheduler::Dequeue(Job* job, uint32_t index) {
-  waiting_.erase({StartByOf(*job, job->tasks[index]), job->number, index});
+  const WaitingTask item{StartByOf(*job, job->tasks[index]), job->number,
+                         index};
+  waiting_.erase(item);
+  suspects_.erase(item);
 }
 
 uint64_t JobScheduler::WorkBefore(Instant start_by) const {
@@ -411,29 +420,31 @@
   is_dispatch_due_ = false;
   if (IsAfterPause(now)) return;
   int failed_placements = 0;
-  int failed_suspects = 0;
-  const size_t max_runs_alone = MaxRunsAlone();
   for (auto item = waiting_.begin();
        item != waiting_.end() && failed_placements < kMaxFailedPlacements;) {
     const WaitingTask next = *item++;
-    Job& job = jobs_.at(next.job);
-    const Task& task = job.tasks[next.task];
-    const bool is_suspect =
-        !crashes_.is_empty() &&
-        crashes_.Judge(TaskName(job.spec.id, task.step, task.index), now) !=
-            CrashVerdict::kSound;
-    if (!is_suspect) {
-      if (!DispatchTask(&job, next.task, false, now)) ++failed_placements;
-    } else if (failed_suspects < kMaxFailedPlacements &&
-               runs_alone_ < max_runs_alone) {
-      // Counted apart, so that suspects do not keep other tasks waiting.
-      if (!DispatchTask(&job, next.task, true, now)) ++failed_suspects;
+    if (!DispatchTask(&jobs_.at(next.job), next.task, false, now)) {
+      ++failed_placements;
+    }
+  }
+  DispatchSuspects(now);
+}
+
+void JobScheduler::DispatchSuspects(Instant now) {
+  if (suspects_.empty()) return;
+  const size_t max_runs_alone = MaxRunsAlone();
+  int failed_placements = 0;
+  for (auto item = suspects_.begin();
+       item != suspects_.end() && failed_placements < kMaxFailedPlacements &&
+       runs_alone_ < max_runs_alone;) {
+    const WaitingTask next = *item++;
+    if (!DispatchTask(&jobs_.at(next.job), next.task, true, now)) {
+      ++failed_placements;
     }
   }
 }
 
 size_t JobScheduler::MaxRunsAlone() const {
-  if (crashes_.is_empty()) return 0;
   return std::max<size_t>(
       workers_.CountConnected() / options_.workers_per_suspect, 1);
 }
@@ -638,8 +649,7 @@
              verdict != CrashVerdict::kOnHold) {
     on_hold_.erase({job.number, index});
     Enqueue(&job, index, now);
-  } else if (task->phase == TaskPhase::kWaiting &&
-             verdict == CrashVerdict::kOnHold) {
+  } else if (task->phase == TaskPhase::kWaiting) {
     Dequeue(&job, index);
     Enqueue(&job, index, now);
   }
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -127,7 +127,7 @@
  private:
   enum class TaskPhase : uint8_t {
     kBlocked,     // An earlier step has open tasks.
-    kWaiting,     // Ready, in `waiting_`.
+    kWaiting,     // Ready, in `waiting_` or `suspects_`.
     kOnHold,      // Ready, in `on_hold_`; see CrashVerdict.
     kDispatched,  // Has an open run.
     kDone         // Ended with success.
@@ -210,6 +210,7 @@
   void UnblockSteps(Job* job, Instant now);
   // Queues the task, or puts it on hold.
   void Enqueue(Job* job, uint32_t task, Instant now);
+  CrashVerdict VerdictOn(const Job& job, const Task& task, Instant now) const;
   void Dequeue(Job* job, uint32_t task);
   Instant StartByOf(const Job& job, const Task& task) const;
   PlacementNeed NeedOf(const Job& job, const Task& task) const;
@@ -228,6 +229,8 @@
   // Chooses a worker for the task. Returns null if none can take it now.
   WorkerRecord* PlaceTask(const Job& job, const Task& task, bool must_run_alone,
                           Instant now, Incarnation* guard);
+  // Sends waiting suspects to workers of their own.
+  void DispatchSuspects(Instant now);
   // Number of suspect tasks that may have an open run at a time.
   size_t MaxRunsAlone() const;
   void OnWorkerLoss(Address guard, const WorkerLoss& loss, Instant now);
@@ -294,6 +297,8 @@
   std::unordered_map<std::string, uint64_t> job_by_id_;
   std::unordered_map<uint64_t, uint64_t> job_by_caller_;
   std::set<WaitingTask> waiting_;
+  // Waiting tasks that run alone. Other tasks do not wait for them.
+  std::set<WaitingTask> suspects_;
   // Job and task of those that wait until losses of workers are resolved.
   std::set<std::pair<uint64_t, uint32_t>> on_hold_;
   std::map<uint64_t, Run> runs_;
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -807,6 +807,23 @@
   EXPECT_TRUE(orders_[2].second.must_run_alone);
 }
 
+// Guards against jobs that are refused beside idle workers: suspects that wait
+// for a worker of their own delay no other task.
+TEST_F(CrashingTaskTest, WaitingSuspectsAreNoWorkAheadOfOtherJobs) {
+  ConnectGuards();
+  std::vector<std::string> suspects(60);
+  for (size_t i = 0; i < suspects.size(); ++i) {
+    suspects[i] = "s.0.0." + std::to_string(i);
+  }
+  Tell(Incarnation{101}, true, suspects, 5);
+  Submit(1, MakeJob("s", 60, 4000, 100), 10);
+  ASSERT_EQ(orders_.size(), 1U);
+  Submit(2, MakeJob("sound", 1, 4000, 100), 20);
+  EXPECT_TRUE(answers_.empty());
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_EQ(orders_[1].second.task, "sound.0.0.0");
+}
+
 // With more workers more suspects run at a time.
 TEST_F(CrashingTaskTest, TheLimitOfSuspectsRisesWithTheWorkers) {
   for (uint64_t i = 0; i < 33; ++i) ConnectGuard(Incarnation{101 + i}, 0);
