End an entry's open calls before its HTTP server stops

Cause: an entry that stops serves requests on open connections until the server is closed. The server waits for them on the core thread, which is the one that reads the guards' replies and the timers.

Change: OnFinish ends all calls as home_unreachable, whose outcome is open, and later ones at once.

--- a/src/daemon/call_table.cc
+++ b/src/daemon/call_table.cc
@@ -2,7 +2,6 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <memory>
 #include <utility>
 
 namespace qs {
@@ -14,19 +13,32 @@
                                          std::optional<Incarnation> incarnation,
                                          uint64_t request, Message message,
                                          Millis timeout) {
-  auto pending = std::make_shared<Pending>();
-  pending->guard = guard;
-  pending->incarnation = incarnation;
-  pending->message = std::move(message);
-  pending->expires = Clock::now() + timeout;
-  std::future<CallResult> result = pending->promise.get_future();
-  asio::post(*io_,
-             [this, request, pending] { Start(request, std::move(*pending)); });
+  Pending pending;
+  pending.guard = guard;
+  pending.incarnation = incarnation;
+  pending.message = std::move(message);
+  pending.expires = Clock::now() + timeout;
+  std::future<CallResult> result = pending.promise.get_future();
+  {
+    const std::lock_guard lock(begun_mutex_);
+    if (is_closed_) {
+      pending.promise.set_value({Reason::kHomeUnreachable, {}});
+      return result;
+    }
+    begun_.emplace(request, std::move(pending));
+  }
+  asio::post(*io_, [this, request] { Start(request); });
   return result;
 }
 
-void CallTable::Start(uint64_t request, Pending pending) {
-  const auto entry = pending_.emplace(request, std::move(pending)).first;
+void CallTable::Start(uint64_t request) {
+  Table::node_type begun;
+  {
+    const std::lock_guard lock(begun_mutex_);
+    begun = begun_.extract(request);
+  }
+  if (begun.empty()) return;
+  const auto entry = pending_.insert(std::move(begun)).position;
   Pending& call = entry->second;
   Incarnation current;
   if (!network_->IsUp(call.guard, &current)) {
@@ -78,6 +90,17 @@
   End(entry, {Reason::kNone, std::move(reply)});
 }
 
+void CallTable::Close() {
+  {
+    const std::lock_guard lock(begun_mutex_);
+    is_closed_ = true;
+    pending_.merge(begun_);
+  }
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    entry = End(entry, {Reason::kHomeUnreachable, {}});
+  }
+}
+
 void CallTable::OnTimer(Instant now) {
   for (auto entry = pending_.begin(); entry != pending_.end();) {
     Pending& call = entry->second;
--- a/src/daemon/call_table.h
+++ b/src/daemon/call_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <future>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -59,6 +60,8 @@
   void OnPeerGone(Address guard, Incarnation incarnation);
   void OnReply(uint64_t request, Message reply);
   void OnTimer(Instant now);
+  // All calls fail with kHomeUnreachable from now on.
+  void Close();
   size_t pending() const { return pending_.size(); }
 
  private:
@@ -72,7 +75,7 @@
   };
   using Table = std::unordered_map<uint64_t, Pending>;
 
-  void Start(uint64_t request, Pending pending);
+  void Start(uint64_t request);
   // Completes and removes a call. Returns the iterator to the next one.
   Table::iterator End(Table::iterator entry, CallResult result);
 
@@ -81,6 +84,9 @@
   PeerNetwork* network_ = nullptr;
   std::atomic<uint64_t> next_request_{1};
   Table pending_;
+  std::mutex begun_mutex_;
+  Table begun_;  // Calls that Start has not taken up.
+  bool is_closed_ = false;
 };
 
 }  // namespace qs
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -87,6 +87,9 @@
 
 void EntryRole::OnFinish() {
   config_agent_.reset();
+  // Requests still come over open connections, and while the server stops on
+  // this thread no reply of a guard is read.
+  calls_.Close();
   if (http_) http_->Stop();
   if (node_) node_->Close();
 }
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -3,6 +3,10 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 #include "lib/cluster.h"
 
 namespace qs::test {
@@ -67,5 +71,39 @@
   EXPECT_EQ(cluster.entry(0).Wait(Millis(60'000)), 0);
 }
 
+// Guards against an entry that never ends, and callers that are never answered:
+// they use open connections until the process is gone.
+TEST(PathTest, AnEntryStopsWhileCallersUseOpenConnections) {
+  constexpr int kCallers = 8;
+  constexpr int kStops = 6;  // A call has to come at a stop's last moment.
+  constexpr Millis kIdleLimit{3'600'000};
+  Cluster cluster{ClusterOptions()};
+  HttpClient::Request request;
+  request.method = "GET";
+  for (int stop = 0; stop < kStops; ++stop) {
+    ASSERT_TRUE(cluster.WaitReady());
+    request.target = "/v1/submissions/" + cluster.Mint(0);
+    std::atomic<bool> is_gone{false};
+    std::vector<std::thread> callers;
+    callers.reserve(kCallers);
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&] {
+        HttpClient client(cluster.entry_http(0), kIdleLimit);
+        while (!is_gone) {
+          (void)client.Exchange(request);
+          std::this_thread::sleep_for(Millis(1));
+        }
+      });
+    }
+    std::this_thread::sleep_for(Millis(100));
+    cluster.entry(0).Signal(SIGTERM);
+    EXPECT_EQ(cluster.entry(0).Wait(Millis(10'000)), 0);
+    is_gone = true;
+    cluster.entry(0).Kill();  // Ends the calls of a process that hangs.
+    for (std::thread& caller : callers) caller.join();
+    cluster.StartEntry(0);
+  }
+}
+
 }  // namespace
 }  // namespace qs::test
