Soak minted submissions with deadly tasks, changing slots and open connections

Change: one job in 100 has a task that crashes its backend server, and four more such jobs are checked after the failures: started, told as unknown with backend_disconnected, within 1.1 s (a crash comes at most 100 ms after the start). Backend servers announce 0 to 8 slots; each start over what its guard accepted in the last period of the announcements counts. One job in eight runs up to 0.9 s. Callers keep a connection to each entry. Failures come up to three times in a row and overlap with planned stops, of entries too. An outcome other than unknown must agree with the start logs in both directions. Names of tasks that break a promise are printed.

--- a/tests/lib/cluster.cc
+++ b/tests/lib/cluster.cc
@@ -194,11 +194,23 @@
   return Ask(entry, "POST", "/v1/submissions").value("id", "");
 }
 
+std::map<std::string, int> Cluster::CountLines(const std::string& path) {
+  std::map<std::string, int> counts;
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) ++counts[line];
+  return counts;
+}
+
 std::map<std::string, int> Cluster::StartsAt(int backend) const {
-  std::map<std::string, int> starts;
-  std::ifstream file(StartLog(backend));
-  for (std::string line; std::getline(file, line);) ++starts[line];
-  return starts;
+  return CountLines(StartLog(backend));
+}
+
+std::map<std::string, int> Cluster::StartsOverSlots() const {
+  std::map<std::string, int> all;
+  for (int i = 0; i < options_.guards; ++i) {
+    all.merge(CountLines(StartLog(i) + "-over"));
+  }
+  return all;
 }
 
 std::map<std::string, int> Cluster::Starts() const {
@@ -240,11 +252,12 @@
 }
 
 std::string JobBody(const std::string& prefix, int tasks, int run_ms,
-                    bool repeatable, int deadline_ms) {
+                    bool repeatable, int deadline_ms,
+                    std::optional<int> deadly) {
   json list = json::array();
   for (int i = 0; i < tasks; ++i) {
     list.push_back(prefix + "-" + std::to_string(i) + "|" +
-                   std::to_string(run_ms));
+                   (i == deadly ? "crash" : std::to_string(run_ms)));
   }
   return json{{"team", "club"},
               {"service", "sketch"},
--- a/tests/lib/cluster.h
+++ b/tests/lib/cluster.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,8 @@
   // How often each task name was started, by all backend servers' logs.
   std::map<std::string, int> Starts() const;
   std::map<std::string, int> StartsAt(int backend) const;
+  // The same for starts over the slots that the backend server announced.
+  std::map<std::string, int> StartsOverSlots() const;
   // The sum of a counter over the guards' /metrics, for lines that contain
   // `label`.
   double GuardCounter(const std::string& name, const std::string& label) const;
@@ -94,6 +97,7 @@
   std::string WriteSettings(const std::string& role, int number,
                             const std::string& zone) const;
   std::string StartLog(int i) const;
+  static std::map<std::string, int> CountLines(const std::string& path);
   static double Counter(Address server, const std::string& name,
                         const std::string& label);
 
@@ -106,9 +110,11 @@
   std::vector<std::unique_ptr<Process>> backends_;
 };
 
-// The body of a job whose tasks are named `prefix`-0, `prefix`-1 and so on.
+// The body of a job whose tasks are named `prefix`-0, `prefix`-1 and so on. The
+// task with number `deadly` crashes its backend server.
 std::string JobBody(const std::string& prefix, int tasks, int run_ms,
-                    bool repeatable = true, int deadline_ms = 30'000);
+                    bool repeatable = true, int deadline_ms = 30'000,
+                    std::optional<int> deadly = std::nullopt);
 
 // Polls `condition` until it holds. False when it does not in time.
 bool WaitUntil(const std::function<bool()>& condition,
--- a/tools/lib/announcer.cc
+++ b/tools/lib/announcer.cc
@@ -12,8 +12,12 @@
 }  // namespace
 
 Announcer::Announcer(Address guard, Millis period,
-                     std::function<std::string()> body)
-    : guard_(guard), period_(period), body_(std::move(body)) {
+                     std::function<std::string()> body,
+                     std::function<void()> on_accepted)
+    : guard_(guard),
+      period_(period),
+      body_(std::move(body)),
+      on_accepted_(std::move(on_accepted)) {
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -34,7 +38,9 @@
     request.target = "/v1/announce";
     request.content_type = "application/json";
     request.body = body_();
-    const bool announced = client.Exchange(request).has_value();
+    const auto response = client.Exchange(request);
+    const bool announced = response.has_value();
+    if (announced && response->status / 100 == 2) on_accepted_();
     next = Clock::now() + (announced ? period_ : kNap * 5);
   }
 }
--- a/tools/lib/announcer.h
+++ b/tools/lib/announcer.h
@@ -13,8 +13,10 @@
 // Announces a backend server to its guard again and again, as a real one would.
 class Announcer {
  public:
-  // `body` is asked for the announcement each time.
-  Announcer(Address guard, Millis period, std::function<std::string()> body);
+  // `body` is asked for the announcement each time. `on_accepted` is called
+  // when the guard has accepted it.
+  Announcer(Address guard, Millis period, std::function<std::string()> body,
+            std::function<void()> on_accepted);
   ~Announcer();
   Announcer(const Announcer&) = delete;
   Announcer& operator=(const Announcer&) = delete;
@@ -25,6 +27,7 @@
   Address guard_;
   Millis period_;
   std::function<std::string()> body_;
+  std::function<void()> on_accepted_;
   std::atomic<bool> stopped_{false};
   std::thread thread_;
 };
