Soak with workers that leave, and check a deadly task after the failures

Change: a worker announces a drain and goes 0.3 to 1.5 s later, with what it runs. If its machine had accepted the drain, that counts as no crash, so a job that is given up for it breaks a promise. After the failures one deadly job must start twice, be given up, and be answered within 3.5 s of the second crash: a worker is back within 2.5 s, and a second remains.

--- a/tests/lib/fake_worker.cc
+++ b/tests/lib/fake_worker.cc
@@ -78,6 +78,7 @@
   ++crashes.all;
   crashes.running += was_running ? 1 : 0;
   crashes.alone += was_alone ? 1 : 0;
+  crashes.last = Clock::now();
   Note(task, run,
        std::string("worker crashed") + (was_running ? ", running" : "") +
            (was_alone ? ", alone" : ""));
@@ -98,6 +99,15 @@
   });
 }
 
+Instant RunLedger::last_crash_of(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  Instant last;
+  for (const auto& [task, crashes] : crashes_by_job_[job]) {
+    last = std::max(last, crashes.last);
+  }
+  return last;
+}
+
 int RunLedger::started_after_crashes() {
   const std::lock_guard lock(mutex_);
   int count = 0;
@@ -286,8 +296,11 @@
   is_down_ = true;
   const std::lock_guard lock(mutex_);
   Settle();
+  const bool leaves = is_drain_known_;
   for (const auto& [key, run] : running_) {
-    ledger_->Ended(key.first, RunName(key), "crashed", Clock::now());
+    ledger_->Ended(key.first, RunName(key), leaves ? "left" : "crashed",
+                   Clock::now());
+    if (leaves) continue;
     ledger_->Crashed(key.first, RunName(key), true, running_.size() == 1);
   }
   // The machine may not know that these were not there.
@@ -302,7 +315,7 @@
     const bool is_there = std::any_of(
         running_.begin(), running_.end(),
         [&name = task](const auto& row) { return row.first.first == name; });
-    if (is_there) continue;
+    if (is_there || leaves) continue;
     ledger_->Crashed(task, RunName({task, attempt}), false, running_.empty());
   }
   running_.clear();
@@ -321,6 +334,7 @@
 void FakeWorker::Restart() {
   const std::lock_guard lock(mutex_);
   back_at_.reset();
+  is_drain_known_ = false;
   is_down_ = false;
 }
 
@@ -537,6 +551,8 @@
 void FakeWorker::SendHeartbeat(HttpCaller* caller, uint64_t sequence) {
   HttpExchange exchange;
   const int64_t cpu = cpu_;
+  const bool is_draining = is_draining_;
+  if (!is_draining) is_drain_known_ = false;
   {
     const std::lock_guard lock(mutex_);
     exchange.target = "/-/Instances.Heartbeat/" + id_;
@@ -550,7 +566,7 @@
       {"service", "svc"},
       {"address", announced_.ToString()},
       {"zone", "z"},
-      {"state", is_draining_ ? "draining" : "ready"},
+      {"state", is_draining ? "draining" : "ready"},
       {"capacity", {{"cpu", cpu}, {"memMb", 65'536}, {"gpu", 0}}},
       {"labels", {"a", "r1-1"}},
       {"currentTimeMs", ClockNow()},
@@ -558,6 +574,7 @@
       {"seq",
        sequence}}.dump();
   const bool is_known = caller->Exchange(exchange).status / 100 == 2;
+  if (is_known && is_draining) is_drain_known_ = true;
   const std::lock_guard lock(mutex_);
   if (is_known && cpu < acknowledged_.back().second) {
     acknowledged_.emplace_back(Clock::now(), cpu);
--- a/tests/lib/fake_worker.h
+++ b/tests/lib/fake_worker.h
@@ -50,6 +50,8 @@
   // Tasks that were started more than twice after three workers had crashed
   // under them.
   int started_after_crashes();
+  // When a worker crashed under a task of the job last.
+  Instant last_crash_of(const std::string& job);
   int over_capacity() const { return over_capacity_; }
   int crashes() const { return crashes_; }
   // What happened to the tasks of a job, a line each.
@@ -73,6 +75,7 @@
     int all = 0;
     int alone = 0;
     int starts_after_three = 0;
+    Instant last;
   };
 
   static int CountOverlaps(const std::vector<Interval>& runs);
@@ -126,7 +129,8 @@
   // Runs that start from now on take so many times as long.
   void SetSlowness(int factor) { slowness_ = factor; }
   // Ends all runs and forgets everything, as a process that dies. It answers
-  // and announces nothing until Restart, under the same id and address.
+  // and announces nothing until Restart, under the same id and address. It is a
+  // planned leave, and no crash of its tasks, if its machine knew of a drain.
   void Crash();
   void Restart();
   int starts() const { return starts_; }
@@ -196,6 +200,7 @@
   std::atomic<int> slowness_{1};
   std::atomic<bool> enforces_capacity_{true};
   std::atomic<bool> is_draining_{false};
+  std::atomic<bool> is_drain_known_{false};  // To its machine.
   std::atomic<bool> is_failing_{false};
   std::atomic<bool> is_down_{false};
   std::atomic<bool> is_stopping_{false};
--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -42,12 +42,17 @@
 constexpr Millis kCallerTimeout{6000};
 // Tolerance for an answer that is in transit when the caller times out.
 constexpr Millis kCallerTimeoutSlack{1500};
+// Two crashes, each with the time until the worker is back, fit into it.
+constexpr Millis kPatienceForCrashes{8000};
 // HeldCluster gives stopping processes a grace period of four seconds.
 constexpr Millis kLongestStop{5000};
 // A process that is told to stop before this age may not handle signals yet.
 constexpr Millis kSignalsHandled{2000};
 constexpr Millis kRecovery{20'000};
 constexpr Millis kTick{5};
+// A worker that a deadly task took down is back within 2.5 s, and what became
+// of it is told within a second of that.
+constexpr Millis kSecondCrashIsTold{3500};
 // One job in so many has a task that crashes its workers.
 constexpr uint32_t kDeadlyOneIn = 30;
 
@@ -214,6 +219,7 @@
         Row{"worker_link", &HeldSoak::WorkerLink},
         Row{"worker_refuses", &HeldSoak::WorkerRefuses},
         Row{"worker_crash", &HeldSoak::WorkerCrash},
+        Row{"worker_leaves", &HeldSoak::WorkerLeaves},
         Row{"worker_late", &HeldSoak::WorkersLate},
         Row{"worker_late", &HeldSoak::WorkersLate},
         Row{"worker_slow", &HeldSoak::WorkerSlow},
@@ -503,13 +509,23 @@
           [&proxy] { proxy.SetListening(true); });
   }
   // The worker starts again under its old id and address.
-  void WorkerCrash() {
+  void WorkerCrash() { TakeDown(DrawUpTo(guards_), Draw(100, 1500)); }
+  // It says so before, and ends what runs too long.
+  void WorkerLeaves() {
     const int i = DrawUpTo(guards_);
+    const Millis grace = Draw(300, 1500);
+    const Millis downtime = Draw(100, 1500);
+    cluster_->worker(i).SetDraining(true);
+    After(grace, [this, i, downtime] { TakeDown(i, downtime); });
+    After(grace + downtime,
+          [this, i] { cluster_->worker(i).SetDraining(false); });
+  }
+  void TakeDown(int i, Millis downtime) {
     FaultProxy& proxy = cluster_->worker_proxy(i);
     cluster_->worker(i).Crash();
     proxy.SetListening(false);
     proxy.SetMode(Mode::kReset);
-    After(Draw(100, 1500), [this, i, &proxy] {
+    After(downtime, [this, i, &proxy] {
       proxy.SetMode(Mode::kPass);
       proxy.SetListening(true);
       cluster_->worker(i).Restart();
@@ -572,6 +588,7 @@
         RecordViolation("jobs are served once failures stop", Name(i), 0);
       }
     }
+    CheckDeadlyTask(static_cast<int>(options_.seed) % entries_);
     for (const std::string& id : refused_) {
       if (cluster_->ledger().starts_of(id) > 0) {
         RecordViolation("a refusal says that nothing ran", id, 0);
@@ -579,6 +596,24 @@
     }
   }
 
+  // One that runs while nothing fails crashes two workers and no more, and its
+  // caller is told as soon as the second crash is known.
+  void CheckDeadlyTask(int entry) {
+    const std::string id = cluster_->NextId();
+    const HeldCluster::Answer answer = cluster_->HandIn(
+        entry, id, 1, Millis(300), "/q/", kPatienceForCrashes, 0);
+    qs::test::RunLedger& ledger = cluster_->ledger();
+    const bool is_given_up = answer.status == 200 &&
+                             answer.body.find("completed") == std::string::npos;
+    const bool is_at_once = qs::Elapsed(ledger.last_crash_of(id),
+                                        Clock::now()) <= kSecondCrashIsTold;
+    if (!is_given_up || !is_at_once || !ledger.HasCrashedTwice(id) ||
+        ledger.starts_of(id) != 2) {
+      RecordViolation("a deadly task is given up after two crashes", id,
+                      answer.status);
+    }
+  }
+
   HeldCluster* cluster_;
   qs::SoakOptions options_;
   int entries_;
@@ -600,6 +635,7 @@
       {"failed when a task failed too often", 0},
       {"a refusal says that nothing ran", 0},
       {"at most two starts after three crashes", 0},
+      {"a deadly task is given up after two crashes", 0},
       {"no start over the announced capacity", 0},
       {"callers are answered in time or cut off", 0},
       {"a process ends only when told to", 0},
