Let slots that change in the soak stay so for 3 to 6 s

Cause: the repair of the other failures restored them, mostly before what was announced had to count.

Change: each change of slots ends on its own, 3 to 6 s later.

--- a/tools/soak.cc
+++ b/tools/soak.cc
@@ -425,10 +425,15 @@
   void PlatformDown(int /*pick*/, int /*how*/) {
     ControlPlatform(R"({"down":true})");
   }
-  // Announced with the next announcement. What runs goes on.
+  // Announced with the next announcement. What runs goes on. Lasts long enough
+  // that what was announced has to count.
   void ChangeSlots(int pick, int how) {
-    const uint32_t slots = static_cast<uint32_t>(how) % (kSlots + 1);
-    ControlBackend(pick % guards_, json{{"slots", slots}}.dump());
+    const int i = pick % guards_;
+    SetSlots(i, static_cast<uint32_t>(how) % (kSlots + 1));
+    After(Millis(3000 + how * 3), [this, i] { SetSlots(i, kSlots); });
+  }
+  void SetSlots(int i, uint32_t slots) {
+    ControlBackend(i, json{{"slots", slots}}.dump());
   }
 
   // Stops a process gracefully under load.
@@ -462,7 +467,7 @@
       cluster_->guard(i).Signal(SIGCONT);
       const bool is_stopping = stopping_guards_.contains(i);
       if (!is_stopping && !cluster_->guard(i).running()) StartGuard(i);
-      ControlBackend(i, json{{"fail_all", false}, {"slots", kSlots}}.dump());
+      ControlBackend(i, R"({"fail_all":false})");
       cluster_->Ask(entries_ - 1, "POST",
                     "/v1/admin/undrain/" + cluster_->guard_peer(i).ToString());
     }
