--- a/tools/soak.cc
+++ b/tools/soak.cc
@@ -94,8 +94,9 @@
     for (std::thread& thread : threads) thread.join();
     CheckDeadlyTasks();
     for (int i = 0; i < guards_; ++i) cluster_->guard(i).Signal(SIGTERM);
-    for (int i = 0; i < guards_; ++i)
+    for (int i = 0; i < guards_; ++i) {
       CheckExit(cluster_->guard(i), kLongestStop);
+    }
   }
 
   // Prints the verdict and returns whether every promise held.
