--- a/tools/soak.cc
+++ b/tools/soak.cc
@@ -441,7 +441,11 @@
   void StopGuard(int pick, int /*how*/) {
     const int i = pick % guards_;
     cluster_->guard(i).Signal(SIGCONT);
-    if (!cluster_->guard(i).running()) return StartGuard(i);
+    if (!cluster_->guard(i).running()) {
+      // Watch() checks how a stop ended, and starts it then.
+      if (!stopping_guards_.contains(i)) StartGuard(i);
+      return;
+    }
     if (!HandlesSignals(cluster_->guard(i))) return;
     cluster_->guard(i).Signal(SIGTERM);
     stopping_guards_.try_emplace(i, qs::Clock::now() + kLongestStop);
