--- a/tests/lib/fault_proxy.cc
+++ b/tests/lib/fault_proxy.cc
@@ -176,7 +176,8 @@
 void FaultProxy::Accept() {
   acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
-    Accept();
+    // A completed accept may be handled after the acceptor was closed.
+    if (acceptor_.is_open()) Accept();
     if (error) return;
     const auto pair = std::make_shared<Pair>(this, std::move(socket));
     if (pair->mode() == Mode::kReset) return pair->Reset();
