--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -106,8 +106,9 @@
               "the run was ended before it had a result"},
     ReasonRow{Reason::kRunStalled, "run_stalled", kFailed,
               "the run made too little progress and was ended"},
-    ReasonRow{Reason::kCrashesWorkers, "crashes_workers", kFailed,
-              "workers crashed one after another under the same task of the job"},
+    ReasonRow{
+        Reason::kCrashesWorkers, "crashes_workers", kFailed,
+        "workers crashed one after another under the same task of the job"},
     ReasonRow{Reason::kBackendDisconnected, "backend_disconnected", kUnknown,
               "the backend server closed the connection without an answer"},
     ReasonRow{Reason::kBackendTimeout, "backend_timeout", kUnknown,
