Handle no request of a caller whose connection has ended

Cause: an entry's connections are reset while it has requests unread. It reads and starts the job, and learns of the end of the connection only with its next event; the caller has sent the job again to another entry meanwhile.

Change: a whole request is handled only if the client has not closed. What ends after that check is a race of events under 1 ms, where the caller has sent the request and waits before it sends it again.

Result: HandlesNoRequestOfACallerThatHasClosed failed before and passes now (16 pass).

--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -159,6 +159,8 @@
 }
 
 void HttpSession::Hold() {
+  // The client may send the request again elsewhere at once.
+  if (HasClientClosed()) return Close();
   close_after_ = !parser_->keep_alive();
   call_ = std::make_shared<HttpCall>(TakeRequest(), weak_from_this());
   parser_.reset();
--- a/tests/event_http_server_test.cc
+++ b/tests/event_http_server_test.cc
@@ -163,6 +163,28 @@
   EXPECT_LT(Clock::now() - closed, Millis(1300));
 }
 
+// Guards against two runs of one task: a job is started for a caller whose
+// connection ended before its request was read, and who sent it elsewhere.
+TEST_F(EventHttpServerTest, HandlesNoRequestOfACallerThatHasClosed) {
+  std::atomic<bool> is_busy{false};
+  std::atomic<bool> has_closed{false};
+  {
+    const RawConnection client(address_, kWaitTimeout);
+    ASSERT_TRUE(client.Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
+    EXPECT_NE(client.ReadUntil("/a,"), "");
+    asio::post(io_, [&] {
+      is_busy = true;
+      while (!has_closed) std::this_thread::sleep_for(Millis(1));
+    });
+    ASSERT_TRUE(WaitUntil([&] { return is_busy.load(); }, kWaitTimeout));
+    ASSERT_TRUE(client.Send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n"));
+  }
+  has_closed = true;
+  HttpCaller caller(address_);
+  EXPECT_EQ(caller.Exchange(Get("/b")).body, "/b,");
+  EXPECT_EQ(held_count_, 0);
+}
+
 TEST_F(EventHttpServerTest, AnswersPipelinedRequestsInTheirOrder) {
   const RawConnection client(address_, kWaitTimeout);
   const std::string one = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
