Pass no job on whose caller left while it waited in the entry

Cause: a job is posted between the reading of its request and the scheduler, and waits up to 50 ms in an entry that is short of processor time. A caller that left in this time was not noticed at all: NotifyLeft is set when the job is passed on, after the end of the connection was handled. The job ran on until its caller's deadline, while its caller sent it again elsewhere.

Change: a call tells whether its client has left, which is asked before the job is passed on. The line caller_left says so.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -102,6 +102,11 @@
 void CallerApi::SubmitJob(const Call& call, HeldJob job, Instant received) {
   const Instant now = Clock::now();
   load_shedder_.OnDequeued(received, now);
+  // NotifyLeft tells of no client that has left before.
+  if (call->HasClientLeft()) {
+    Log(LogLevel::kInfo, "caller_left", {{"job", job.id}, {"open_runs", "0"}});
+    return;
+  }
   const uint64_t caller = next_caller_++;
   open_calls_[caller] = call;
   call->NotifyLeft([this, caller] { OnCallerLeft(caller); });
--- a/src/http/http_call.cc
+++ b/src/http/http_call.cc
@@ -10,6 +10,11 @@
   if (session != nullptr) session->Respond(response);
 }
 
+bool HttpCall::HasClientLeft() const {
+  const std::shared_ptr<HttpSession> session = session_.lock();
+  return session == nullptr || session->HasClientClosed();
+}
+
 void HttpCall::OnClientDisconnected() {
   session_.reset();
   const std::function<void()> callback = std::move(on_client_disconnected_);
--- a/src/http/http_call.h
+++ b/src/http/http_call.h
@@ -21,6 +21,8 @@
   // Sends the response. Does nothing if a response was already sent or the
   // client has closed its connection.
   void Respond(const HttpResponse& response);
+  // Whether the client has closed its connection, or the response was sent.
+  bool HasClientLeft() const;
   // Sets the function that is called if the client closes its connection before
   // the response is sent.
   void NotifyLeft(std::function<void()> callback) {
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -32,6 +32,8 @@
                                            ClosedCallback on_closed);
 
   void Start() { Read(); }
+  // Whether the client has closed the connection, read or not.
+  bool HasClientClosed();
   void Respond(const HttpResponse& response);
   // Closes the connection if its client has exceeded the timeout of the present
   // phase, or has closed it unnoticed.
@@ -68,7 +70,6 @@
   HttpRequest TakeRequest();
   void Hold();
   void AwaitClose();
-  bool HasClientClosed();
   void Drain();
   void Send(std::string text);
   void OnSent();
--- a/tests/event_http_server_test.cc
+++ b/tests/event_http_server_test.cc
@@ -62,6 +62,12 @@
 
   void OnCall(const std::shared_ptr<HttpCall>& call) {
     if (call->request().path == "/throws") throw std::runtime_error("test");
+    if (call->request().path == "/watched") {
+      is_busy_ = true;
+      while (!has_closed_) std::this_thread::sleep_for(Millis(1));
+      has_left_ = call->HasClientLeft();
+      return;
+    }
     if (call->request().path == "/held") {
       call->NotifyLeft([this] { ++disconnected_count_; });
       held_.push_back(call);
@@ -90,6 +96,9 @@
   std::vector<std::shared_ptr<HttpCall>> held_;
   std::atomic<int> held_count_{0};
   std::atomic<int> disconnected_count_{0};
+  std::atomic<bool> is_busy_{false};  // The thread of the server.
+  std::atomic<bool> has_closed_{false};
+  std::atomic<bool> has_left_{false};
   std::thread thread_;
 };
 
@@ -166,25 +175,35 @@
 // Guards against two runs of one task: a job is started for a caller whose
 // connection ended before its request was read, and who sent it elsewhere.
 TEST_F(EventHttpServerTest, HandlesNoRequestOfACallerThatHasClosed) {
-  std::atomic<bool> is_busy{false};
-  std::atomic<bool> has_closed{false};
   {
     const RawConnection client(address_, kWaitTimeout);
     ASSERT_TRUE(client.Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
     EXPECT_NE(client.ReadUntil("/a,"), "");
     asio::post(io_, [&] {
-      is_busy = true;
-      while (!has_closed) std::this_thread::sleep_for(Millis(1));
+      is_busy_ = true;
+      while (!has_closed_) std::this_thread::sleep_for(Millis(1));
     });
-    ASSERT_TRUE(WaitUntil([&] { return is_busy.load(); }, kWaitTimeout));
+    ASSERT_TRUE(WaitUntil([&] { return is_busy_.load(); }, kWaitTimeout));
     ASSERT_TRUE(client.Send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n"));
   }
-  has_closed = true;
+  has_closed_ = true;
   HttpCaller caller(address_);
   EXPECT_EQ(caller.Exchange(Get("/b")).body, "/b,");
   EXPECT_EQ(held_count_, 0);
 }
 
+// Guards against a job that is started, and held until its deadline, for a
+// caller that left while the request waited in this process.
+TEST_F(EventHttpServerTest, ACallKnowsThatItsCallerHasLeft) {
+  {
+    const RawConnection client(address_, kWaitTimeout);
+    ASSERT_TRUE(client.Send("GET /watched HTTP/1.1\r\nHost: a\r\n\r\n"));
+    ASSERT_TRUE(WaitUntil([&] { return is_busy_.load(); }, kWaitTimeout));
+  }
+  has_closed_ = true;
+  EXPECT_TRUE(WaitUntil([&] { return has_left_.load(); }, kWaitTimeout));
+}
+
 TEST_F(EventHttpServerTest, AnswersPipelinedRequestsInTheirOrder) {
   const RawConnection client(address_, kWaitTimeout);
   const std::string one = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
