--- a/review/build.sh
+++ b/review/build.sh
@@ -23,9 +23,9 @@
 done
 for pid in "${pids[@]}"; do wait "$pid"; done
 
-for source in review/[1-5]/case.cc; do
+for source in review/[1-5]/*.cc; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   g++ "${flags[@]}" "$source" "${objects[@]}" "${libs[@]}" \
-    -o "$out/case$number"
+    -o "$out/$(basename "$source" .cc)$number"
 done
