--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -1,8 +1,11 @@
 #include "standins/deployment.h"
 
+#include <signal.h>
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -27,6 +30,21 @@
 constexpr int kStorePort = 8169;
 constexpr const char* kDaemon = "target/quetzalspindled";
 
+// A case that takes longer than this is ended, with all that it started.
+constexpr unsigned kLongestCaseSeconds = 110;
+constexpr size_t kMaxProcesses = 64;
+
+std::array<std::atomic<pid_t>, kMaxProcesses> g_processes{};
+std::atomic<size_t> g_process_count{0};
+
+void EndAll(int /*signal*/) {
+  for (const std::atomic<pid_t>& process : g_processes) {
+    const pid_t pid = process;
+    if (pid != 0) kill(pid, SIGKILL);
+  }
+  _exit(kCouldNotRun);
+}
+
 std::string ReadFile(const std::string& path) {
   std::ifstream stream(path);
   if (!stream) {
@@ -68,7 +86,12 @@
       net_("127." + std::to_string(64 + getpid() % 64) + "." +
            std::to_string(getpid() / 64 % 250 + 1) + "."),
       entry_count_(entries) {
-  std::string pattern = "/tmp/review.XXXXXX";
+  signal(SIGTERM, &EndAll);
+  signal(SIGINT, &EndAll);
+  signal(SIGALRM, &EndAll);
+  alarm(kLongestCaseSeconds);
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "review.XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) std::exit(kCouldNotRun);
   directory_ = pattern;
   std::random_device device;
@@ -124,8 +147,7 @@
           ip + ":" + std::to_string(kReadiness));
   Replace(&text, "{{listenAddrs.controlPlane}}",
           ip + ":" + std::to_string(kControl));
-  Replace(&text, "{{platform.address}}",
-          At(kStoreHost, kStorePort).ToString());
+  Replace(&text, "{{platform.address}}", At(kStoreHost, kStorePort).ToString());
   Replace(&text, "{{app}}", app);
   Replace(&text, "{{#seeds}}{{.}} {{/seeds}}", seeds);
   if (text.find("{{") != std::string::npos) {
@@ -139,6 +161,7 @@
       {kDaemon, "--config", path},
       directory_ + "/" + name + "." + std::to_string(++started_) + ".log");
   if (process == nullptr) std::exit(kCouldNotRun);
+  g_processes.at(g_process_count++) = process->pid();
   record_->Write("process " + name + " started");
   return process;
 }
@@ -160,17 +183,17 @@
 }
 
 json Deployment::Route(const std::string& name, const std::string& prefix) {
-  return {{"name", name},           {"host", "jobs.example"},
-          {"prefix", prefix},       {"kind", "non_idempotent"},
-          {"timeoutMs", 1500},      {"targetLatencyMs", 60},
-          {"priority", 1},          {"service", "svc"},
-          {"maxAttempts", 4},       {"slackFactor", 1.6}};
+  return {{"name", name},      {"host", "jobs.example"},
+          {"prefix", prefix},  {"kind", "non_idempotent"},
+          {"timeoutMs", 1500}, {"targetLatencyMs", 60},
+          {"priority", 1},     {"service", "svc"},
+          {"maxAttempts", 4},  {"slackFactor", 1.6}};
 }
 
 void Deployment::WriteConfig(uint64_t version, const json& routes) {
-  const json service = {{"name", "svc"},    {"healthPath", "/healthz"},
-                        {"maxConns", 64},   {"protocol", "h1"},
-                        {"tls", false},     {"rejectsOverload", true},
+  const json service = {{"name", "svc"},   {"healthPath", "/healthz"},
+                        {"maxConns", 64},  {"protocol", "h1"},
+                        {"tls", false},    {"rejectsOverload", true},
                         {"standby", false}};
   const json limits = {{"maxHeaderBytes", 16384},
                        {"maxBodyBytes", 262144},
@@ -201,7 +224,8 @@
   Reply reply;
   if (!connection.connected()) return reply;
   connection.SetPatience(patience);
-  std::string text = method + " " + path + " HTTP/1.1\r\nHost: jobs.example\r\n";
+  std::string text =
+      method + " " + path + " HTTP/1.1\r\nHost: jobs.example\r\n";
   if (!body.empty()) {
     text += "Content-Type: application/json\r\nContent-Length: " +
             std::to_string(body.size()) + "\r\n";
@@ -214,8 +238,8 @@
   const std::string length_name = "Content-Length: ";
   const size_t length = head.find(length_name);
   if (length == std::string::npos) return reply;
-  reply.body = connection.Read(
-      std::stoul(head.substr(length + length_name.size())));
+  reply.body =
+      connection.Read(std::stoul(head.substr(length + length_name.size())));
   reply.status = std::stoi(head.substr(head.find(' ') + 1));
   return reply;
 }
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -76,7 +77,7 @@
   std::string directory_;
   int entry_count_;
   int started_ = 0;
-  uint64_t next_id_ = 0;
+  std::atomic<uint64_t> next_id_{0};
   std::unique_ptr<qs::test::FakeKv> store_;
   std::vector<std::unique_ptr<Minion>> minions_;
   std::vector<std::unique_ptr<qs::test::Process>> entries_;
--- a/review/standins/minion.cc
+++ b/review/standins/minion.cc
@@ -183,9 +183,9 @@
   running_[key] = {Clock::now() + Millis(run_ms), cpu, runs_.size()};
   runs_.push_back({key.first, key.second, spec, options_.id, Clock::now(),
                    Instant::max(), ""});
-  record_->Write("minion " + options_.id + " start " + key.first +
-                 " attempt " + std::to_string(key.second) + ", " +
-                 std::to_string(used) + " of " + std::to_string(options_.cpu) +
+  record_->Write("minion " + options_.id + " start " + key.first + " attempt " +
+                 std::to_string(key.second) + ", " + std::to_string(used) +
+                 " of " + std::to_string(options_.cpu) +
                  " thousandths of a core in use");
   changed_.notify_all();
   return Answer(kOk, json::object());
