--- a/review/standins-2/silent_store_connections.cc
+++ b/review/standins-2/silent_store_connections.cc
@@ -96,8 +96,8 @@
   cluster.WriteCatalog(3, true);
   const Instant acknowledged = Clock::now();
   std::printf("%d ms: version 3 is acknowledged\n", MillisSince(began));
-  const Instant bound =
-      std::max(silences ? silent + kContact : silent, acknowledged + kConfigApply);
+  const Instant bound = std::max(silences ? silent + kContact : silent,
+                                 acknowledged + kConfigApply);
   std::printf("%d ms: every entry is in touch, and the bound has passed\n",
               static_cast<int>(Elapsed(began, bound).count()));
   int late = 0;
