--- a/review/standins-2/caller_cut_one_way.cc
+++ b/review/standins-2/caller_cut_one_way.cc
@@ -33,7 +33,7 @@
 constexpr int kProxyPort = 8002;
 constexpr int kTasks = 8;
 constexpr Millis kRunTime{3'000};
-constexpr Millis kCallerTimeout{8'000};
+constexpr Millis kCallerTimeout{4'000};
 constexpr Millis kBeforeCut{300};
 // Until the caller's keep-alive probes have shown that nothing arrives.
 constexpr Millis kKeepAlive{500};
