--- a/review/standins-2/silent_store_connections.cc
+++ b/review/standins-2/silent_store_connections.cc
@@ -31,6 +31,8 @@
 // bounds.contactMs and bounds.configApplyMs of the small deployments.
 constexpr Millis kContact{3'000};
 constexpr Millis kConfigApply{2'000};
+// From version 2 to the silence, shortly before version 3.
+constexpr Millis kBetweenChanges{4'070};
 constexpr Millis kAskInterval{10};
 constexpr Millis kAskFor{5'000};
 
@@ -81,8 +83,8 @@
     std::printf("version 2 did not come into force\n");
     return kCouldNotRun;
   }
-  // Each entry has sent its next watch by then.
-  std::this_thread::sleep_for(Millis(20));
+  // Each entry has sent its third watch since by then. A watch lasts 2 s.
+  std::this_thread::sleep_for(kBetweenChanges);
   const Instant began = Clock::now();
   if (silences) {
     cluster.store_proxy().BreakConnections(FaultProxy::Notices::kServer, true,
