platform: a body is bounded by what it becomes

What callers saw: 8 bodies of 1 MB within the limit, full of empty arrays, objects or steps, made an entry grow by 35 to 46 MB, of the 120 MB that the smallest one has; the growth stayed.

Cause: a value of JSON takes two bytes as text and up to 160 once decoded. Only bytes were bounded. Labels were as long as the body, and a step that names an earlier one a thousand times kept a thousand numbers.

Why it works: brackets and commas outside strings bound the number of values before anything is decoded. 32,768 of them is five times what the widest job of the design (640 tasks, each a step of its own) has. Workers' answers and the project's own interface have the same limit; the operator's configuration has none.

--- a/src/http/object_reader.cc
+++ b/src/http/object_reader.cc
@@ -2,6 +2,8 @@
 
 #include <limits>
 
+#include "http/json_limits.h"
+
 namespace qs {
 namespace {
 
@@ -100,6 +102,11 @@
 }
 
 Checked<json> ParseObject(const std::string& body) {
+  if (HasMoreJsonValues(body, kMaxJsonValues)) {
+    return tl::unexpected(Findings("", "the body holds more than " +
+                                           std::to_string(kMaxJsonValues) +
+                                           " JSON values"));
+  }
   json document;
   try {
     document = json::parse(body);
--- /dev/null
+++ b/tests/crowd_jobs_test.cc
@@ -0,0 +1,140 @@
+// Crowds whose requests are small and within every limit on bytes, but become
+// much once they are decoded, held, sent to guards or started. Checks nothing
+// that depends on the speed of the machine: that each process lives, that its
+// memory stays within that of its machine, and that an ordinary request is
+// answered afterwards.
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+
+#include "lib/cluster.h"
+#include "lib/crowd.h"
+#include "lib/held_cluster.h"
+
+namespace qs::test {
+namespace {
+
+// The memory of the smallest machines in the deployments' sheets.
+constexpr size_t kEntryMemory = 120U << 20U;
+constexpr size_t kGuardMemory = 128U << 20U;
+constexpr int kEntry = 0;
+constexpr int kGuard = 1;
+// The limit on bodies that the configuration leaves.
+constexpr size_t kBodyBytes = 1'000'000;
+// A few clients whose bodies are decoded one after the other. What that takes
+// may not exceed a tenth of the smallest machine.
+constexpr int kDecodedMembers = 8;
+constexpr size_t kDecodingMemory = 12U << 20U;
+constexpr Millis kWait{30'000};
+constexpr Millis kRoundTime{500};
+
+// Nothing but the body differs between the crowds.
+struct CrowdedJob {
+  const char* name;
+  std::function<std::string()> body;
+};
+
+void PrintTo(const CrowdedJob& job, std::ostream* out) { *out << job.name; }
+
+std::string JobOf(const std::string& phases, const std::string& more = "") {
+  return R"({"bestEffort":true,"spec":"1000")" + more + R"(,"phases":[)" +
+         phases + "]}";
+}
+
+// `unit` over and over, separated by commas, in `bytes`.
+std::string Repeated(const std::string& unit, size_t bytes) {
+  std::string text = unit;
+  while (text.size() + unit.size() < bytes) text += "," + unit;
+  return text;
+}
+
+// What bodies become while they are decoded.
+const CrowdedJob kDecodedBodies[] = {
+    {"Steps",
+     [] {
+       return JobOf(Repeated("{}", kBodyBytes)) + "]";  // Not a job after all.
+     }},
+    {"Arrays",
+     [] {
+       return JobOf("{}", R"(,"more":[)" + Repeated("[]", kBodyBytes) + "]");
+     }},
+    {"Objects",
+     [] {
+       return JobOf("{}", R"(,"more":[)" + Repeated("{}", kBodyBytes) + "]");
+     }},
+    {"Depth",
+     [] {
+       return JobOf("{}", R"(,"more":)" + std::string(kBodyBytes / 2, '[') +
+                              std::string(kBodyBytes / 2, ']'));
+     }},
+};
+
+class CrowdJobsTest : public ::testing::TestWithParam<CrowdedJob> {
+ protected:
+  CrowdJobsTest() : cluster_(1, 1) {}
+  void SetUp() override { ASSERT_TRUE(cluster_.WaitReady()); }
+
+  std::string Request(const std::string& body) {
+    return "POST /q/" + cluster_.NextId() +
+           " HTTP/1.1\r\nHost: jobs.example\r\n"
+           "Quetzalspindle-Deadline-Ms: 60000\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  void ExpectAliveWithinMemory() {
+    Process& entry = cluster_.process(kEntry);
+    Process& guard = cluster_.process(kGuard);
+    ASSERT_TRUE(entry.running());
+    ASSERT_TRUE(guard.running());
+    const size_t of_entry = PeakMemoryBytes(entry.pid());
+    const size_t of_guard = PeakMemoryBytes(guard.pid());
+    ASSERT_GT(of_entry, 0U);
+    ASSERT_GT(of_guard, 0U);
+    EXPECT_LE(of_entry, kEntryMemory);
+    EXPECT_LE(of_guard, kGuardMemory);
+    RecordProperty("entry_kib", static_cast<int>(of_entry >> 10U));
+    RecordProperty("guard_kib", static_cast<int>(of_guard >> 10U));
+  }
+  bool IsOrdinaryAnswered() {
+    return WaitUntil(
+        [&] {
+          return cluster_.HandIn(0, cluster_.NextId(), 1, Millis(1)).status ==
+                 200;
+        },
+        kWait);
+  }
+
+  HeldCluster cluster_;
+};
+
+class DecodedBodiesTest : public CrowdJobsTest {};
+
+TEST_P(DecodedBodiesTest, TakeLittleMemory) {
+  const pid_t entry = cluster_.process(kEntry).pid();
+  const size_t before = PeakMemoryBytes(entry);
+  const std::string body = GetParam().body();
+  {
+    Crowd crowd(cluster_.EntryAt(0, 8000), kDecodedMembers);
+    crowd.SendEach([&] { return Request(body); });
+    crowd.AwaitAnswers(kRoundTime);
+  }
+  EXPECT_TRUE(IsOrdinaryAnswered());
+  ExpectAliveWithinMemory();
+  const size_t grown = PeakMemoryBytes(entry) - before;
+  EXPECT_LE(grown, kDecodingMemory);
+  RecordProperty("grown_kib", static_cast<int>(grown >> 10U));
+}
+
+std::string NameOfJob(
+    const ::testing::TestParamInfo<CrowdJobsTest::ParamType>& info) {
+  return info.param.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(EveryBody, DecodedBodiesTest,
+                         ::testing::ValuesIn(kDecodedBodies), &NameOfJob);
+
+}  // namespace
+}  // namespace qs::test
--- a/tests/lib/crowd.cc
+++ b/tests/lib/crowd.cc
@@ -69,13 +69,27 @@
   // Pieces are whole units.
   std::string text;
   while (text.size() < kPieceBytes) text += unit;
+  SendPieces([&](size_t) -> const std::string& { return text; },
+             [&](size_t) { return bytes; }, stall);
+}
+
+void Crowd::SendEach(const std::function<std::string()>& text, Millis stall) {
+  std::vector<std::string> texts;
+  for (size_t i = 0; i < sockets_.size(); ++i) texts.push_back(text());
+  SendPieces([&](size_t i) -> const std::string& { return texts[i]; },
+             [&](size_t i) { return texts[i].size(); }, stall);
+}
+
+void Crowd::SendPieces(const std::function<const std::string&(size_t)>& text_of,
+                       const std::function<size_t(size_t)>& bytes_of,
+                       Millis stall) {
   std::vector<Member> members(sockets_.size());
   while (true) {
     bool has_sent = false;
     std::vector<pollfd> waiting;
     for (size_t i = 0; i < sockets_.size(); ++i) {
       if (members[i].is_over) continue;
-      has_sent |= SendPiece(sockets_[i], text, bytes, &members[i]);
+      has_sent |= SendPiece(sockets_[i], text_of(i), bytes_of(i), &members[i]);
       if (!members[i].is_over) waiting.push_back({sockets_[i], POLLOUT, 0});
     }
     if (waiting.empty()) return;
@@ -87,6 +101,15 @@
   }
 }
 
+void Crowd::AwaitAnswers(Millis longest) const {
+  const Instant until = Clock::now() + longest;
+  for (const int fd : sockets_) {
+    const Millis left = std::max(Elapsed(Clock::now(), until), Millis(0));
+    pollfd state{fd, POLLIN | POLLRDHUP, 0};
+    poll(&state, 1, static_cast<int>(left.count()));
+  }
+}
+
 void Crowd::HalfClose() {
   for (const int fd : sockets_) shutdown(fd, SHUT_WR);
 }
--- a/tests/lib/crowd.h
+++ b/tests/lib/crowd.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,6 +28,13 @@
   // or when none could send for `stall`.
   void Send(const std::string& head, const std::string& unit, size_t bytes,
             Millis stall = Millis(3000));
+  // Sends one text on each connection, as `text` makes it, as far as the server
+  // takes it. Ends when all is sent, or when none could send for `stall`.
+  void SendEach(const std::function<std::string()>& text,
+                Millis stall = Millis(3000));
+  // Waits until each connection has an answer or is closed, for so long at the
+  // most.
+  void AwaitAnswers(Millis longest) const;
   // Ends what the clients send; they still read.
   void HalfClose();
   // Connections that the server has not closed.
@@ -35,6 +43,10 @@
   std::vector<std::string> Answers() const;
 
  private:
+  // Sends `bytes_of(i)` bytes of `text_of(i)`, over and over, on connection i.
+  void SendPieces(const std::function<const std::string&(size_t)>& text_of,
+                  const std::function<size_t(size_t)>& bytes_of, Millis stall);
+
   std::vector<int> sockets_;
 };
 
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -7,6 +7,7 @@
 
 #include "caller_http.h"
 #include "catalog_json.h"
+#include "http/json_limits.h"
 #include "worker_http.h"
 
 namespace qs::platform {
@@ -172,6 +173,42 @@
             static_cast<double>(int64_t{1} << 42U));
 }
 
+TEST(JsonLimitsTest, CountsValuesOutsideOfStrings) {
+  const std::string text = R"({"a":[1,{"b":"x,[{\",\\"},[2]]})";
+  constexpr size_t kValues = 7;  // Two objects, two arrays, three scalars.
+  EXPECT_FALSE(HasMoreJsonValues(text, kValues));
+  EXPECT_TRUE(HasMoreJsonValues(text, kValues - 1));
+  for (const char* odd : {"", "\"", "\"\\", "\"\\\"", "[", ",,,,"}) {
+    EXPECT_FALSE(HasMoreJsonValues(odd, kValues)) << odd;
+  }
+}
+
+// A body of 1 MB that would take many times as much once it is decoded.
+TEST(JsonLimitsTest, ABodyOfManySmallValuesIsNotDecoded) {
+  HttpRequest request;
+  request.body = R"({"bestEffort":true,"spec":"","phases":[{})";
+  for (int i = 0; i < 100'000; ++i) request.body += ",{}";
+  request.body += "]}";
+  const Checked<HeldJob> job = CallerHttp().DecodeJob(kId, request, Millis(1));
+  ASSERT_FALSE(job);
+  ASSERT_EQ(job.error().items().size(), 1U);
+  EXPECT_EQ(job.error().items()[0].place, "body");
+}
+
+TEST(CallerHttpTest, LongLabelsAreRefusedAndRepeatedStepsCountOnce) {
+  HttpRequest request;
+  request.body =
+      R"({"bestEffort":true,"spec":"","phases":[{},{"after":[0,0,0]}]})";
+  const Checked<HeldJob> job = CallerHttp().DecodeJob(kId, request, Millis(1));
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job->steps[1].depends_on, std::vector<uint32_t>{0});
+  for (const char* field : {"constraints", "affinity"}) {
+    request.body = std::string(R"({"bestEffort":true,"spec":"","phases":[{")") +
+                   field + "\":\"" + std::string(4001, 'x') + "\"}]}";
+    EXPECT_FALSE(CallerHttp().DecodeJob(kId, request, Millis(1))) << field;
+  }
+}
+
 // Guards against a process that runs out of memory on the findings of one
 // input: each takes more than the two bytes that may cause it.
 TEST(JsonFieldsTest, TheFindingsOfOneInputAreBounded) {
