held: what a job becomes is bounded before it is held

Cause: `max_jobs` counts jobs and the load shedder requests. A task takes about a kilobyte of tables, runs and orders; nothing asked for it, and nothing knew the machine's memory.

Why it works: JobBudget estimates what a job takes, before it is passed on, and refuses what exceeds the machine's part for it (429), or can never fit (413). The share is given back by the last of the job and its runs, so that callers who leave and come again do not add up. The machine's memory is `limits.memoryMb` of the node file; MemoryPlan divides it among requests, jobs and frames.

--- a/include/quetzalspindle/reason.h
+++ b/include/quetzalspindle/reason.h
@@ -35,6 +35,7 @@
   kOverQuotaForGood = 11,
   kNoSuchQueue = 12,
   kNotSupported = 13,
+  kJobTooLarge = 14,
   // Refused: try later.
   kNoGuardAvailable = 20,
   kHomeOverloaded = 21,
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -44,6 +44,8 @@
               "the configuration has no queue under this host and path"},
     ReasonRow{Reason::kNotSupported, "not_supported", kNeverRuns,
               "the job asks for something that is not offered here"},
+    ReasonRow{Reason::kJobTooLarge, "job_too_large", kNeverRuns,
+              "the job needs more memory than the process may take for one"},
     ReasonRow{Reason::kNoGuardAvailable, "no_guard_available", kTryLater,
               "no guard can take the submission now"},
     ReasonRow{Reason::kHomeOverloaded, "home_overloaded", kTryLater,
--- /dev/null
+++ b/src/core/memory_plan.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace qs {
+
+// How much of a machine's memory the tables may take that clients can fill. The
+// rest is left to the program, to the decoding of one request at a time, and to
+// what the allocator keeps.
+struct MemoryPlan {
+  size_t intake_bytes = 0;  // Requests that are read, and answers.
+  // Jobs of callers at an entry with their runs; runs at a guard.
+  size_t work_bytes = 0;
+  // One frame of another process, and the frames that wait for one to read
+  // them.
+  size_t frame_bytes = 0;
+
+  // If `memory_mb` is 0, the machine does not say what it has. Then the
+  // settings alone bound requests and frames, and work is bounded as on the
+  // smallest machine that the program runs on.
+  static MemoryPlan Make(uint32_t memory_mb);
+};
+
+}  // namespace qs
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -25,7 +25,9 @@
                      std::function<void()> on_change)
     : kernel_(kernel),
       scheduler_(scheduler),
-      on_change_(std::move(on_change)) {}
+      on_change_(std::move(on_change)),
+      job_budget_(
+          {kernel->settings.max_tasks_of_job, kernel->memory.work_bytes}) {}
 
 void CallerApi::SetCatalog(std::shared_ptr<const Catalog> catalog) {
   catalog_ = std::move(catalog);
@@ -114,16 +116,23 @@
   }
   if (job->is_unsupported) return refuse(Reason::kNotSupported, queue.name);
   job->queue = queue.name;
+  JobBudget::Admission admission = job_budget_.Admit(*job);
+  if (admission.refusal != Reason::kNone) {
+    return refuse(admission.refusal,
+                  "jobs hold " + std::to_string(job_budget_.bytes()) +
+                      " bytes, this one " + std::to_string(BytesOfJob(*job)));
+  }
   call->ReleaseRequest();
   // Posts the job, so that the load shedder first counts the requests that are
   // already readable.
-  asio::post(kernel_->io,
-             [this, call, received, j = std::move(*job)]() mutable {
-               SubmitJob(call, std::move(j), received);
-             });
+  asio::post(kernel_->io, [this, call, received, j = std::move(*job),
+                           memory = std::move(admission.share)]() mutable {
+    SubmitJob(call, std::move(j), std::move(memory), received);
+  });
 }
 
-void CallerApi::SubmitJob(const Call& call, HeldJob job, Instant received) {
+void CallerApi::SubmitJob(const Call& call, HeldJob job,
+                          MemoryBudget::Share memory, Instant received) {
   const Instant now = Clock::now();
   load_shedder_.OnDequeued(received, now);
   // NotifyLeft tells of no client that has left before.
@@ -134,7 +143,7 @@
   const uint64_t caller = next_caller_++;
   open_calls_[caller] = call;
   call->NotifyLeft([this, caller] { OnCallerLeft(caller); });
-  scheduler_->OnJob(caller, std::move(job), received, now);
+  scheduler_->OnJob(caller, std::move(job), received, now, std::move(memory));
   on_change_();
 }
 
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "held/job_budget.h"
 #include "held/load_shedder.h"
 #include "http/event_http_server.h"
 #include "kernel/kernel.h"
@@ -58,7 +59,9 @@
   void OnCall(const Call& call);
   void OnSubmit(const QueueDeclaration& queue, const std::string& id,
                 const Call& call);
-  void SubmitJob(const Call& call, HeldJob job, Instant received);
+  // `memory` is that of the job.
+  void SubmitJob(const Call& call, HeldJob job, MemoryBudget::Share memory,
+                 Instant received);
   void OnCallerLeft(uint64_t caller);
   void Refuse(const Call& call, Reason reason, const std::string& subject,
               const std::string& detail);
@@ -68,6 +71,7 @@
   std::function<void()> on_change_;
   std::function<void(const Call&, const std::string&)> on_cancel_;
   std::shared_ptr<const Catalog> catalog_;  // Null until the first one arrives.
+  JobBudget job_budget_;
   LoadShedder load_shedder_{LoadShedderOptions()};
   bool is_stopping_ = false;
   uint64_t next_caller_ = 1;
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -68,8 +68,10 @@
   constexpr size_t kUnnamedPart = 16;
   const Settings& settings = kernel.settings;
   PeerLimits limits;
-  limits.frames.max_frame_bytes = settings.max_frame_kib * kKib;
-  limits.frames.max_unsent_bytes = settings.max_unsent_kib * kKib;
+  limits.frames.max_frame_bytes =
+      std::min(settings.max_frame_kib * kKib, kernel.memory.frame_bytes);
+  limits.frames.max_unsent_bytes =
+      std::min(settings.max_unsent_kib * kKib, kernel.memory.frame_bytes);
   limits.max_sessions = settings.max_peers;
   limits.max_unnamed_sessions = std::min<size_t>(
       settings.max_unnamed_peers, kernel.descriptors / kUnnamedPart);
--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -6,6 +6,7 @@
 
 #include "held/decision_log.h"
 #include "held/held_task_name.h"
+#include "held/job_budget.h"
 
 namespace qs {
 namespace {
@@ -143,7 +144,7 @@
 }
 
 void JobScheduler::OnJob(uint64_t caller, HeldJob job, Instant received,
-                         Instant now) {
+                         Instant now, MemoryBudget::Share memory) {
   if (cancels_.Contains(job.id)) {
     AnswerCaller(caller, job.id, kCancelledAnswer);
     return;
@@ -182,7 +183,7 @@
     AnswerCaller(caller, job.id,
                  {HeldState::kRefused, refusal, verdict.retry_after});
   } else {
-    Admit(caller, *queue, std::move(job), received, now);
+    Admit(caller, *queue, std::move(job), received, now, std::move(memory));
     Dispatch(now);
   }
 }
@@ -320,10 +321,12 @@
 }
 
 void JobScheduler::Admit(uint64_t caller, const QueueDeclaration& queue,
-                         HeldJob spec, Instant received, Instant now) {
+                         HeldJob spec, Instant received, Instant now,
+                         MemoryBudget::Share memory) {
   const uint64_t number = next_job_++;
   Job& job = jobs_[number];
   job.number = number;
+  job.memory = std::move(memory);
   job.callers.push_back(caller);
   job.service = queue.service;
   job.max_attempts = std::max<uint32_t>(queue.max_attempts, 1);
@@ -338,6 +341,10 @@
   job.useful_by = received + std::min(objective * options_.useful_objectives,
                                       spec.caller_timeout);
   job.spec = std::move(spec);
+  size_t tasks = 0;
+  for (const HeldStep& step : job.spec.steps) tasks += step.tasks;
+  job.tasks.reserve(tasks);
+  job.open_tasks_in_step.reserve(job.spec.steps.size());
   for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
     const uint32_t count = job.spec.steps[step].tasks;
     job.open_tasks_in_step.push_back(count);
@@ -626,6 +633,8 @@
     ++runs_alone_;
     log_->Record("suspect_dispatched",
                  {{"task", order.task},
+  run.memory = job->memory;
+  run.order_bytes = BytesOfOrder(order);
                   {"attempt", Text(task.attempt)},
                   {"guard", record->address.ToString()},
                   {"crashes", crashes_.CrashesUnder(order.task, now)}});
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -101,8 +101,10 @@
   // Admits or refuses a job, or joins the caller to the held job with the same
   // id. The request was read from the connection at `received`; the caller's
   // wait is counted from then, or from the beginning of a pause of this process
-  // that has just ended.
-  void OnJob(uint64_t caller, HeldJob job, Instant received, Instant now);
+  // that has just ended. `memory` is given back when nothing of the job is
+  // left, also no run.
+  void OnJob(uint64_t caller, HeldJob job, Instant received, Instant now,
+             MemoryBudget::Share memory = nullptr);
   // Ends the job with this id, and answers each later submission of it that it
   // was cancelled. Returns the number of the cancel; see CancelLedger.
   uint64_t OnCancel(const std::string& id, CancelOrigin origin, Instant now);
@@ -163,6 +165,8 @@
     uint64_t connection = 0;  // The guard's connection that took the order.
     std::string job_id;
     std::string task_name;
+    MemoryBudget::Share memory;  // Of its job.
+    size_t order_bytes = 0;
     bool is_alone = false;    // It was ordered to run alone.
     bool is_stopped = false;  // A stop was sent.
     bool is_orphan = false;   // Its guard was disconnected or silent.
@@ -171,7 +175,7 @@
   };
 
   void Admit(uint64_t caller, const QueueDeclaration& queue, HeldJob job,
-             Instant received, Instant now);
+             Instant received, Instant now, MemoryBudget::Share memory);
   AdmissionVerdict CheckAdmission(const QueueDeclaration& queue,
                                   const HeldJob& job, Instant received,
                                   Instant now) const;
--- a/src/held/scheduled_job.h
+++ b/src/held/scheduled_job.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/memory_budget.h"
 #include "held/waiting_tasks.h"
 #include "quetzalspindle/held_job.h"
 #include "quetzalspindle/ids.h"
@@ -51,7 +52,8 @@
   std::vector<uint32_t> open_tasks_in_step;  // Tasks not done, by step.
   size_t open_tasks = 0;                     // Tasks not done.
   uint32_t open_runs = 0;
-  bool may_have_run = false;  // A run ended and was not refused by its guard.
+  MemoryBudget::Share memory;  // Of the job with its runs.
+  bool may_have_run = false;   // A run ended and was not refused by its guard.
   // Runs of an earlier job with this id may still execute, so no task starts.
   bool awaits_earlier_runs = false;
 
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -32,9 +32,11 @@
   return std::min(limit.rlim_cur, kMost);
 }
 
-IntakeLimits IntakeLimitsOf(const Settings& settings, size_t descriptors) {
+IntakeLimits IntakeLimitsOf(const Settings& settings, size_t descriptors,
+                            const MemoryPlan& memory) {
   IntakeLimits limits;
-  limits.max_bytes = settings.max_intake_kib * kKib;
+  limits.max_bytes =
+      std::min(settings.max_intake_kib * kKib, memory.intake_bytes);
   limits.ordinary_bytes = settings.ordinary_kib * kKib;
   limits.ordinary_percent = settings.ordinary_percent;
   limits.max_connections = settings.max_connections > 0
@@ -52,7 +54,8 @@
           DeploymentRegistry::Instance().Make(this->settings.deployment)),
       incarnation(RandomIncarnation()),
       descriptors(CountDescriptors(this->settings)),
-      intake(IntakeLimitsOf(this->settings, descriptors),
+      memory(MemoryPlan::Make(this->settings.memory_mb)),
+      intake(IntakeLimitsOf(this->settings, descriptors, memory),
              [this](HttpRefusal refusal) {
                metrics.ClientRefused(HttpRefusalName(refusal));
              }) {}
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/memory_plan.h"
 #include "http/connection_intake.h"
 #include "kernel/timer_service.h"
 #include "metrics/metrics.h"
@@ -30,6 +31,7 @@
   Incarnation incarnation;  // Random, new at each start.
   // That the process may open, as far as it is of use.
   const size_t descriptors;
+  const MemoryPlan memory;
   asio::io_context io{1};
   TimerService timers{&io};
   Metrics metrics;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -58,6 +58,11 @@
         "3000", 0, 60'000,
         "how long a stopping entry still accepts jobs, so that the balancer "
         "can take it out of rotation"},
+    Row{"callers", "max_tasks_of_job", &Settings::max_tasks_of_job, "10000",
+        640, 100'000, "tasks of one job"},
+    Row{"limits", "memory_mb", &Settings::memory_mb, "0", 0, 1'048'576,
+        "memory of the machine, of which fixed parts bound what clients can "
+        "make the process hold; 0 for the least that it runs on"},
     Row{"limits", "max_line_bytes", &Settings::max_line_bytes, "16384", 128,
         65'536, "longest request line of an HTTP request"},
     Row{"limits", "max_header_bytes", &Settings::max_header_bytes, "16384", 512,
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -25,9 +25,11 @@
   Address callers;
   Address readiness;
   uint32_t max_held_jobs = 0;
+  uint32_t max_tasks_of_job = 0;
   Millis stop_accepting_after{0};
 
   // Limits on clients.
+  uint32_t memory_mb = 0;
   uint32_t max_line_bytes = 0;
   uint32_t max_header_bytes = 0;
   uint32_t max_headers = 0;
--- a/tests/crowd_jobs_test.cc
+++ b/tests/crowd_jobs_test.cc
@@ -23,6 +23,9 @@
 constexpr size_t kGuardMemory = 128U << 20U;
 constexpr int kEntry = 0;
 constexpr int kGuard = 1;
+constexpr int kMembers = 64;
+constexpr int kManyMembers = 500;
+constexpr int kRounds = 3;
 // The limit on bodies that the configuration leaves.
 constexpr size_t kBodyBytes = 1'000'000;
 // A few clients whose bodies are decoded one after the other. What that takes
@@ -36,6 +39,7 @@
 struct CrowdedJob {
   const char* name;
   std::function<std::string()> body;
+  int members = kMembers;
 };
 
 void PrintTo(const CrowdedJob& job, std::ostream* out) { *out << job.name; }
@@ -52,6 +56,35 @@
   return text;
 }
 
+// What jobs become that are held, sent and started.
+const CrowdedJob kHeldJobs[] = {
+    {"Wide",
+     [] { return JobOf(R"({"count":100000,"cpu":1,"estimateMs":1})"); }},
+    {"WideWithoutEstimate",
+     [] { return JobOf(R"({"count":100000,"cpu":1000})"); }},
+    {"WideWithoutNeeds", [] { return JobOf(R"({"count":100000})"); }},
+    {"WideForNoWorker",
+     [] { return JobOf(R"({"count":100000,"constraints":"none"})"); }},
+    {"WideInStepsThatDepend",
+     [] { return JobOf(R"({"count":50000},{"count":50000,"after":[0]})"); }},
+    {"WideWithLargeSpec",
+     [] {
+       return R"({"bestEffort":true,"spec":")" + std::string(4000, 'x') +
+              R"(","phases":[{"count":10000}]})";
+     }},
+    {"Steps", [] { return JobOf(Repeated("{}", kBodyBytes)); }},
+    // Jobs that may be held, in numbers that may not.
+    {"ManyForNoWorker",
+     [] { return JobOf(R"({"count":10000,"constraints":"none"})"); },
+     kManyMembers},
+    {"ManyWithLargeSpec",
+     [] {
+       return R"({"bestEffort":true,"spec":")" + std::string(4000, 'x') +
+              R"(","phases":[{"count":2000}]})";
+     },
+     kManyMembers},
+};
+
 // What bodies become while they are decoded.
 const CrowdedJob kDecodedBodies[] = {
     {"Steps",
@@ -110,6 +143,20 @@
   HeldCluster cluster_;
 };
 
+class HeldJobsTest : public CrowdJobsTest {};
+
+TEST_P(HeldJobsTest, LeaveTheProcessesAliveInTheirMemoryAndServing) {
+  const std::string body = GetParam().body();
+  for (int round = 0; round < kRounds; ++round) {
+    Crowd crowd(cluster_.EntryAt(0, 8000), GetParam().members);
+    crowd.SendEach([&] { return Request(body); });
+    crowd.AwaitAnswers(kRoundTime);
+    // The next round meets what is kept of the jobs of callers that left.
+  }
+  EXPECT_TRUE(IsOrdinaryAnswered());
+  ExpectAliveWithinMemory();
+}
+
 class DecodedBodiesTest : public CrowdJobsTest {};
 
 TEST_P(DecodedBodiesTest, TakeLittleMemory) {
@@ -133,6 +180,8 @@
   return info.param.name;
 }
 
+INSTANTIATE_TEST_SUITE_P(EveryJob, HeldJobsTest, ::testing::ValuesIn(kHeldJobs),
+                         &NameOfJob);
 INSTANTIATE_TEST_SUITE_P(EveryBody, DecodedBodiesTest,
                          ::testing::ValuesIn(kDecodedBodies), &NameOfJob);
 
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -983,5 +983,48 @@
   EXPECT_EQ(orders_.size(), 1U);
 }
 
+// The caller has left, but its run may still execute: its tables are held.
+TEST_F(JobSchedulerTest, TheMemoryOfAJobIsGivenBackWithItsLastRun) {
+  ConnectGuard(kGuardA, 0);
+  MemoryBudget budget({100, 100, 0});
+  scheduler_.OnJob(1, MakeJob("a", 1), At(10), At(10), budget.Take(60));
+  CollectActions(10);
+  ASSERT_EQ(orders_.size(), 1U);
+  scheduler_.OnCallerLeft(1, At(20));
+  EXPECT_EQ(budget.bytes(), 60U);
+  ReportEnd(0, RunOutcome::kLost, 100);
+  EXPECT_EQ(budget.bytes(), 0U);
+  // A caller that joins a held job, and one that is refused, hold nothing more.
+  scheduler_.OnJob(2, MakeJob("b", 1), At(110), At(110), budget.Take(60));
+  scheduler_.OnJob(3, MakeJob("b", 1), At(110), At(110), budget.Take(30));
+  EXPECT_EQ(budget.bytes(), 60U);
+  HeldJob unknown = MakeJob("c", 1);
+  unknown.queue = "none";
+  scheduler_.OnJob(4, unknown, At(110), At(110), budget.Take(30));
+  EXPECT_EQ(budget.bytes(), 60U);
+}
+
+// Tasks that state neither needs nor an estimate look as if any number of them
+// fitted anywhere.
+TEST_F(JobSchedulerTest, AGuardGetsNoMoreOrdersThanItsTableTakes) {
+  const WorkerTableOptions limits;
+  ConnectGuard(kGuardA, 0);
+  Submit(1, MakeJob("a", 2000, 0, 0), 10);
+  EXPECT_EQ(orders_.size(), limits.max_open_orders);
+  ReportEnd(0, RunOutcome::kDone, 20);
+  EXPECT_EQ(orders_.size(), limits.max_open_orders + 1);
+}
+
+TEST_F(JobSchedulerTest, AGuardGetsNoMoreBytesOfOrdersThanItsFrameTakes) {
+  const WorkerTableOptions limits;
+  ConnectGuard(kGuardA, 0);
+  HeldJob job = MakeJob("a", 2000, 0, 0);
+  job.payload.assign(4000, 'x');
+  Submit(1, job, 10);
+  EXPECT_GT(orders_.size(), 0U);
+  EXPECT_LE(orders_.size() * job.payload.size(),
+            limits.max_order_bytes + job.payload.size());
+}
+
 }  // namespace
 }  // namespace qs::test
