held: a guard bounds the runs that entries make it hold

What callers saw: jobs whose tasks state no needs, or no estimate, made a guard of 128 MB grow to 158,060 KiB (Wide) and 189,632 KiB (WideWithLargeSpec), and jobs of others waited for the guard's answers.

Cause: an order without work fits into every queue, as queues count work and processors only. All tasks of a wide job went to the guards at once, in frames of tens of MB, with a copy of the payload for each.

Why it works: an entry has 512 orders or 1 MiB of them open at a guard, so no frame is larger; a guard takes 1,024 runs, or a fifth of its machine's memory of them, and gives other orders back unstarted. The number bounds the time of its passes over all runs. An order that waits for another run of its task is still accepted: refused, it would start elsewhere beside that run. A step's readiness is found once, not once a task.

--- a/src/daemon/job_guard_role.cc
+++ b/src/daemon/job_guard_role.cc
@@ -44,6 +44,7 @@
   RunSupervisorOptions options;
   options.zone = kernel_->settings.zone;
   options.longest_lease = kernel_->settings.worker_lease;
+  options.max_run_bytes = kernel_->memory.work_bytes;
   options.observes_neighbours = kernel_->settings.separate_interfering != 0;
   supervisor_ = std::make_unique<RunSupervisor>(options, InitialFencingToken(),
                                                 &log_, Clock::now());
--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -400,14 +400,19 @@
 // Tasks and runs.
 
 void JobScheduler::UnblockSteps(Job* job, Instant now) {
-  for (uint32_t i = 0; i < job->tasks.size(); ++i) {
-    if (job->tasks[i].phase != TaskPhase::kBlocked) continue;
-    const HeldStep& step = job->spec.steps[job->tasks[i].step];
-    const bool is_ready = std::all_of(
+  std::vector<bool> is_ready;
+  is_ready.reserve(job->spec.steps.size());
+  for (const HeldStep& step : job->spec.steps) {
+    is_ready.push_back(std::all_of(
         step.depends_on.begin(), step.depends_on.end(), [&](uint32_t earlier) {
           return job->open_tasks_in_step[earlier] == 0;
-        });
-    if (is_ready) Enqueue(job, i, now);
+        }));
+  }
+  for (uint32_t i = 0; i < job->tasks.size(); ++i) {
+    const Task& task = job->tasks[i];
+    if (task.phase == TaskPhase::kBlocked && is_ready[task.step]) {
+      Enqueue(job, i, now);
+    }
   }
 }
 
@@ -628,18 +633,19 @@
   run.connection = record->connection;
   run.job_id = job->spec.id;
   run.task_name = order.task;
+  run.memory = job->memory;
+  run.order_bytes = BytesOfOrder(order);
   run.is_alone = must_run_alone;
   if (must_run_alone) {
     ++runs_alone_;
     log_->Record("suspect_dispatched",
                  {{"task", order.task},
-  run.memory = job->memory;
-  run.order_bytes = BytesOfOrder(order);
                   {"attempt", Text(task.attempt)},
                   {"guard", record->address.ToString()},
                   {"crashes", crashes_.CrashesUnder(order.task, now)}});
   }
   record->open_runs.insert(order.number);
+  record->order_bytes += run.order_bytes;
   WorkerTable::OnOrderSent(record, order);
   order_log_.Add(job->spec.id,
                  std::to_string(task.step) + "." + std::to_string(task.index),
@@ -657,7 +663,9 @@
   if (found == runs_.end()) return;
   const Run run = found->second;
   WorkerRecord* record = workers_.Find(run.guard);
-  if (record != nullptr) record->open_runs.erase(number);
+  if (record != nullptr && record->open_runs.erase(number) > 0) {
+    record->order_bytes -= run.order_bytes;
+  }
   runs_.erase(found);
   if (run.is_alone) --runs_alone_;
   const bool is_down = end.outcome == RunOutcome::kLost &&
--- a/src/held/run_supervisor.cc
+++ b/src/held/run_supervisor.cc
@@ -7,6 +7,7 @@
 
 #include "held/announcement_order.h"
 #include "held/decision_log.h"
+#include "held/job_budget.h"
 
 namespace qs {
 namespace {
@@ -98,7 +99,8 @@
       clock_(options.longest_lease),
       health_(options.health),
       losses_(options.losses, log),
-      neighbours_(options.neighbours) {
+      neighbours_(options.neighbours),
+      run_budget_({options.max_run_bytes, options.max_run_bytes, 0}) {
   assert(options.home_lease < options.unstopped_run_limit);
   assert(options.unstopped_run_limit <= kUnstoppedRunLimit);
   assert(options.silent_after <= kOldestClockReading);
@@ -495,6 +497,7 @@
     return;
   }
   Run run;
+  run.memory = run_budget_.Take(BytesOfRun(order));
   run.key = key;
   run.session = session;
   run.received_at = now;
@@ -566,7 +569,7 @@
   if (ZoneRefusal() != Reason::kNone) return ZoneRefusal();
   if (order.service != worker_->service) return Reason::kWrongService;
   if (!order.need.FitsIn(worker_->capacity)) return Reason::kConstraintUnmet;
-  if (lone_run_) return Reason::kExecutorQueueFull;
+  if (lone_run_ || !HasMemoryFor(order)) return Reason::kExecutorQueueFull;
   const bool starts_now = queue_.empty() && HasRoomFor(order);
   if (starts_now) return Reason::kNone;
   // While the breaker is open, an order is accepted only if it can start now,
@@ -579,6 +582,11 @@
                                                : Reason::kNone;
 }
 
+bool RunSupervisor::HasMemoryFor(const RunOrder& order) const {
+  return runs_.size() < options_.max_runs &&
+         run_budget_.Judge(BytesOfRun(order)) == MemoryBudget::Verdict::kFits;
+}
+
 void RunSupervisor::TrimQueue() {
   const int64_t limit =
       worker_->capacity.cpu_millis * options_.queue_percent / 100;
--- a/src/held/run_supervisor.h
+++ b/src/held/run_supervisor.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/memory_budget.h"
 #include "held/fencing_token.h"
 #include "held/lease_terms.h"
 #include "held/loss_recorder.h"
@@ -70,6 +71,11 @@
   // An order that would have to wait is refused when the queued orders need at
   // least this many percent of the worker's CPU capacity.
   uint32_t queue_percent = 25;
+  // An order is refused while so many runs are open, or runs that may take so
+  // much memory. The number bounds the time that one order or timer event
+  // takes.
+  size_t max_runs = 1024;
+  size_t max_run_bytes = size_t{16} << 20U;
   // A run has stalled when its progress does not change for this long and for
   // at least half of its estimate. Progress is reported in whole percent. Up to
   // estimates of two seconds, a worker that is eight times too slow still
@@ -222,6 +228,8 @@
     // then, through a stop or through the expiry of the worker's lease. A slow
     // clock of the worker may add 2 % of the lease.
     std::optional<Instant> must_end_by;
+    // Null for an order that waits for another run of its task.
+    MemoryBudget::Share memory;
     uint64_t observed = 0;  // Its number at `neighbours_`; 0 before it started.
   };
 
@@ -256,6 +264,8 @@
   void AcceptOrder(uint64_t session, HomeSession* home, RunOrder order,
                    Instant now);
   Reason RefusalFor(const RunOrder& order, Instant now) const;
+  // Whether there is memory for a run of this order, and time to watch it.
+  bool HasMemoryFor(const RunOrder& order) const;
   // Why nothing may start in this guard's zone; kNone if it may.
   Reason ZoneRefusal() const;
   // Gives back the queued runs that do not fit any more, and starts those that
@@ -418,6 +428,7 @@
   Resources used_;
   // Capacity became free that ReportFreedCapacity has not yet handled.
   bool is_capacity_freed_ = false;
+  MemoryBudget run_budget_;
   std::map<RunKey, Run> runs_;
   std::vector<RunKey> queue_;  // In the order of start_by.
   // Orders of tasks of which another run may still be executing, in the order
--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -206,6 +206,8 @@
 bool WorkerTable::IsUsable(const WorkerRecord& record,
                            const PlacementNeed& need, Instant now) const {
   return IsFresh(record, now) && !record.awaits_echo && !record.is_evacuated &&
+         record.open_runs.size() < options_.max_open_orders &&
+         record.order_bytes < options_.max_order_bytes &&
          now >= record.paused_until &&
          record.report.state == ServingState::kServing &&
          CanRun(record.report, need);
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -37,6 +37,11 @@
   // most this. The queue keeps the worker busy during the round trip between
   // the report of an ended run and the arrival of the next order.
   Millis max_queue_delay{25};
+  // A guard gets no orders while so many that this entry sent have not ended,
+  // or so many bytes of them. Bounds the frames to a guard, and what they take
+  // there.
+  size_t max_open_orders = 512;
+  size_t max_order_bytes = size_t{1} << 20U;
   // A worker that is slower than others of its kind by the first factor is an
   // outlier, until it is slower by less than the second only.
   double outlier_factor = 2.5;
@@ -69,6 +74,7 @@
   Resources in_flight_need;
   uint64_t in_flight_work = 0;   // Core-milliseconds.
   std::set<uint64_t> open_runs;  // Runs not known to have ended.
+  size_t order_bytes = 0;        // Of their orders.
   Instant paused_until;          // No orders before this; see `refusal_pause`.
   // Set while the queue of the guard is full for tasks of this urgency or less:
   // from a refusal until a report tells of less queued work, for
--- a/tests/run_supervisor_test.cc
+++ b/tests/run_supervisor_test.cc
@@ -1948,5 +1948,41 @@
   StartRun(60, MakeOrder(4, "t4"));
 }
 
+// Orders without needs fit into any room, but not into any memory.
+TEST_F(RunSupervisorTest, RefusesWhatItHasNoMemoryFor) {
+  const RunSupervisorOptions limits;
+  std::vector<RunOrder> orders;
+  for (uint64_t i = 1; i <= limits.max_runs + 1; ++i) {
+    orders.push_back(MakeOrder(i, "t" + std::to_string(i), 0));
+  }
+  PlaceOrders(10, orders);
+  ASSERT_EQ(ends_.size(), 1U);
+  EXPECT_EQ(ends_[0].number, limits.max_runs + 1);
+  EXPECT_EQ(ends_[0].outcome, RunOutcome::kNotStarted);
+  EXPECT_EQ(ends_[0].reason, Reason::kExecutorQueueFull);
+}
+
+TEST_F(RunSupervisorTest, RefusesLargePayloadsThatItHasNoMemoryFor) {
+  const RunSupervisorOptions limits;
+  constexpr size_t kPayload = 1'000'000;
+  std::vector<RunOrder> orders;
+  for (uint64_t i = 1; i <= limits.max_run_bytes / kPayload; ++i) {
+    orders.push_back(MakeOrder(i, "t" + std::to_string(i), 0));
+    orders.back().payload.assign(kPayload, 'x');
+  }
+  PlaceOrders(10, orders);
+  EXPECT_FALSE(ends_.empty());
+  EXPECT_LE(starts_.size() * kPayload, limits.max_run_bytes);
+  // An ended run makes room for the next.
+  const size_t before = starts_.size();
+  AcceptStart(starts_[0], 11);
+  AnswerPoll(20, {}, {{1, "t1", 1, RunEnding::kDone}});
+  RunOrder next = orders[0];
+  next.number = 1000;
+  next.task = "next";
+  PlaceOrders(30, {next});
+  EXPECT_EQ(starts_.size(), before + 1);
+}
+
 }  // namespace
 }  // namespace qs::test
