entry, guard: bodies and jobs at /v1/ have a budget

What callers saw: 48 callers with bodies within `[entry] max_body_bytes` made an entry grow to 720 MB before one of them was complete, and to 619 to 872 MB while their jobs ran; the design gives a node 256 MB.

Cause: each of 64 threads reads its body of up to 16 MiB whole, and holds it decoded, in a message and in a frame until the answer. A guard bounds the number of jobs and tasks, not their bytes.

Why it works: a body takes its share, four times its size, before it is read, and gives it back after the answer; one without an announced length takes it as it grows. A request without one is refused at once with 503 and has not run. The default has room for one largest body beside ordinary ones. A home takes the share of a job before it holds it.

--- a/src/core/home.cc
+++ b/src/core/home.cc
@@ -13,6 +13,18 @@
   return {outcome, reason, {}};
 }
 
+// Upper estimate of what a running job takes: its tables and payloads, and the
+// payloads once more in grants on their way.
+size_t BytesOf(const JobSpec& job) {
+  constexpr size_t kJobBytes = 1024;
+  constexpr size_t kTaskBytes = 512;
+  size_t bytes = kJobBytes;
+  for (const std::string& payload : job.payloads) {
+    bytes += kTaskBytes + 2 * payload.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 std::unique_ptr<Home> Home::Make(const HomeOptions& options,
@@ -31,7 +43,8 @@
       executors_({options.self, options.zone, options.queue_per_slot,
                   options.service_retention},
                  std::move(policy), seed),
-      minter_(options.id_lifetime) {}
+      minter_(options.id_lifetime),
+      job_budget_({options.max_job_bytes, options.max_job_bytes, 0}) {}
 
 // Requests of callers.
 
@@ -102,6 +115,14 @@
       waiting_tasks_ + job.payloads.size() > options_.max_waiting_tasks) {
     return Reason::kHomeOverloaded;
   }
+  switch (job_budget_.Judge(BytesOf(job))) {
+    case MemoryBudget::Verdict::kNeverFits:
+      return Reason::kJobTooLarge;
+    case MemoryBudget::Verdict::kFull:
+      return Reason::kHomeOverloaded;
+    case MemoryBudget::Verdict::kFits:
+      break;
+  }
   return Reason::kNone;
 }
 
@@ -140,6 +161,7 @@
 void Home::Admit(uint64_t sequence, SubmitRequest request, Instant now) {
   Job& job = jobs_[sequence];
   job.sequence = sequence;
+  job.memory = job_budget_.Take(BytesOf(request.job));
   job.digest = request.job.Digest();
   job.spec = std::move(request.job);
   job.tasks.resize(job.spec.payloads.size());
@@ -524,6 +546,7 @@
     if (!complete) task.result.output = std::string();
     job->answer_bytes += task.result.output.size() + sizeof(Task);
   }
+  job->memory.reset();
   --running_jobs_;
   ++undelivered_;
   kept_answer_bytes_ += job->answer_bytes;
--- a/src/core/home.h
+++ b/src/core/home.h
@@ -14,6 +14,7 @@
 #include "core/declarations.h"
 #include "core/demand.h"
 #include "core/executor_table.h"
+#include "core/memory_budget.h"
 #include "core/minter.h"
 #include "core/placement_policy.h"
 #include "quetzalspindle/ids.h"
@@ -32,6 +33,8 @@
   // running jobs.
   uint32_t max_waiting_tasks = 20'000;
   uint32_t max_jobs = 20'000;
+  // Memory of the running jobs, by an upper estimate of each before it is held.
+  size_t max_job_bytes = size_t{64} << 20U;
   uint32_t max_mint = 10'000;    // Submission ids given out per request.
   Millis max_deadline{600'000};  // Longer job deadlines are shortened to this.
   // An id under which no job is submitted for this time is retired.
@@ -181,6 +184,7 @@
     Instant finish_by;  // Open tasks end as unknown then.
     Instant ended;
     bool delivered = false;
+    MemoryBudget::Share memory;  // While it is running.
     uint64_t answer_bytes = 0;
     std::vector<Waiter> waiters;
   };
@@ -242,6 +246,7 @@
   GrantNumber next_grant_ = 1;
   size_t waiting_tasks_ = 0;
   size_t running_jobs_ = 0;
+  MemoryBudget job_budget_;
   size_t undelivered_ = 0;
   uint64_t kept_answer_bytes_ = 0;
   std::unordered_map<uint64_t, Job> jobs_;
--- a/src/core/memory_plan.cc
+++ b/src/core/memory_plan.cc
@@ -17,11 +17,12 @@
 MemoryPlan MemoryPlan::Make(uint32_t memory_mb) {
   constexpr size_t kAny = std::numeric_limits<size_t>::max();
   if (memory_mb == 0) {
-    return {kAny, kSmallestMemoryMb * kMib * kWorkPercent / kPercent, kAny};
+    return {false, kAny, kSmallestMemoryMb * kMib * kWorkPercent / kPercent,
+            kAny};
   }
   const size_t memory = memory_mb * kMib;
-  return {memory * kIntakePercent / kPercent, memory * kWorkPercent / kPercent,
-          memory * kFramePercent / kPercent};
+  return {true, memory * kIntakePercent / kPercent,
+          memory * kWorkPercent / kPercent, memory * kFramePercent / kPercent};
 }
 
 }  // namespace qs
--- a/src/core/memory_plan.h
+++ b/src/core/memory_plan.h
@@ -9,6 +9,7 @@
 // rest is left to the program, to the decoding of one request at a time, and to
 // what the allocator keeps.
 struct MemoryPlan {
+  bool is_known = false;
   size_t intake_bytes = 0;  // Requests that are read, and answers.
   // Jobs of callers at an entry with their runs; runs at a guard.
   size_t work_bytes = 0;
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "daemon/listener_options.h"
 #include "daemon/node.h"
 #include "daemon/operator_api.h"
 #include "daemon/process_routes.h"
@@ -182,6 +183,7 @@
   options.address = kernel_->settings.http;
   options.threads = kernel_->settings.entry_threads;
   options.max_body_bytes = kernel_->settings.max_body_bytes;
+  LimitBodies(*kernel_, &options);
   auto http = HttpServer::Make(std::move(options), std::move(routes));
   if (!http) return http.error();
   http_ = std::move(*http);
--- a/src/daemon/guard_role.cc
+++ b/src/daemon/guard_role.cc
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "daemon/admin_json.h"
+#include "daemon/listener_options.h"
 #include "daemon/node.h"
 #include "daemon/process_routes.h"
 #include "http/announcement_json.h"
@@ -31,6 +32,7 @@
   options.queue_per_slot = settings.queue_per_slot;
   options.max_waiting_tasks = settings.max_waiting_tasks;
   options.max_jobs = settings.max_jobs;
+  if (kernel.memory.is_known) options.max_job_bytes = kernel.memory.work_bytes;
   options.max_deadline = settings.max_deadline;
   options.id_lifetime = settings.id_lifetime;
   options.answer_retention = settings.answer_retention;
@@ -332,6 +334,7 @@
   HttpServerOptions options = ProcessHttpOptions();
   options.address = kernel_->settings.http;
   options.threads = kHttpThreads;
+  LimitBodies(*kernel_, &options);
   auto http = HttpServer::Make(std::move(options), std::move(routes));
   if (!http) return http.error();
   http_ = std::move(*http);
--- a/src/daemon/process_routes.cc
+++ b/src/daemon/process_routes.cc
@@ -36,6 +36,10 @@
         Reason::kBodyTooLarge,
         Findings("body", "the limit is " + std::to_string(limit) + " bytes"));
   };
+  options.overloaded = [] {
+    constexpr Millis kRetryAfter{1000};
+    return ProblemResponse(Reason::kEntryOverloaded, {}, kRetryAfter);
+  };
   options.no_such_route = [] { return ProblemResponse(Reason::kNotFound); };
   return options;
 }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -81,7 +81,9 @@
 }
 
 HttpServer::HttpServer(HttpServerOptions options, std::vector<Route> routes)
-    : options_(std::move(options)), routes_(std::move(routes)) {}
+    : options_(std::move(options)),
+      routes_(std::move(routes)),
+      bodies_(options_.bodies) {}
 
 HttpServer::~HttpServer() { Stop(); }
 
@@ -158,28 +160,66 @@
                     // connection cannot be reused.
     return options_.no_such_route();
   }
-  if (!ReadBody(connection, &request.body)) {
-    *close = true;
-    return options_.too_large(options_.max_body_bytes);
+  std::vector<MemoryBudget::Share> memory;
+  HttpResponse response;
+  switch (ReadBody(connection, &request.body, &memory)) {
+    case BodyVerdict::kRead:
+      response = route->handler(request);
+      break;
+    case BodyVerdict::kTooLarge:
+      *close = true;
+      response = options_.too_large(options_.max_body_bytes);
+      break;
+    case BodyVerdict::kOverloaded:
+      *close = true;
+      response = options_.overloaded();
+      break;
   }
-  return route->handler(request);
+  GiveBack(&memory);
+  return response;
 }
 
-bool HttpServer::ReadBody(mg_connection* connection, std::string* body) const {
+HttpServer::BodyVerdict HttpServer::ReadBody(
+    mg_connection* connection, std::string* body,
+    std::vector<MemoryBudget::Share>* memory) const {
   const mg_request_info* info = mg_get_request_info(connection);
   const auto limit = static_cast<long long>(options_.max_body_bytes);
-  if (info->content_length > limit) return false;
+  if (info->content_length > limit) return BodyVerdict::kTooLarge;
+  std::array<char, 4096> buffer;  // Not initialized: each read fills it.
+  // The bytes that `memory` covers. Without an announced length they double
+  // with the body.
+  size_t covered = 0;
+  const auto cover = [&](size_t bytes) {
+    memory->push_back(TakeMemory(bytes - covered));
+    covered = bytes;
+    return memory->back() != nullptr;
+  };
   if (info->content_length > 0) {
-    body->reserve(static_cast<size_t>(info->content_length));
+    const auto announced = static_cast<size_t>(info->content_length);
+    if (!cover(announced)) return BodyVerdict::kOverloaded;
+    body->reserve(announced);
   }
-  std::array<char, 4096> buffer;  // Not initialized: each read fills it.
   while (true) {
     const int count = mg_read(connection, buffer.data(), buffer.size());
     if (count <= 0) break;
+    const size_t size = body->size() + static_cast<size_t>(count);
+    if (size > options_.max_body_bytes) return BodyVerdict::kTooLarge;
+    const size_t doubled =
+        std::min(std::max(2 * covered, size), options_.max_body_bytes);
+    if (size > covered && !cover(doubled)) return BodyVerdict::kOverloaded;
     body->append(buffer.data(), static_cast<size_t>(count));
-    if (body->size() > options_.max_body_bytes) return false;
   }
-  return true;
+  return BodyVerdict::kRead;
+}
+
+MemoryBudget::Share HttpServer::TakeMemory(size_t body_bytes) const {
+  const std::lock_guard lock(bodies_mutex_);
+  return bodies_.Take(body_bytes * kCopiesOfBody);
+}
+
+void HttpServer::GiveBack(std::vector<MemoryBudget::Share>* memory) const {
+  const std::lock_guard lock(bodies_mutex_);
+  memory->clear();
 }
 
 void HttpServer::Write(mg_connection* connection, const HttpResponse& response,
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,13 +3,16 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "core/memory_budget.h"
 #include "http/http_limits.h"
 #include "http/route_table.h"
 #include "quetzalspindle/address.h"
@@ -35,6 +38,13 @@
   std::function<HttpResponse(size_t)> too_large;
   std::function<HttpResponse()> no_such_route;
 
+  // For HttpServer only: memory of all bodies that are read or in service. Each
+  // counts kCopiesOfBody times.
+  MemoryBudgetLimits bodies{std::numeric_limits<size_t>::max(),
+                            std::numeric_limits<size_t>::max(), 0};
+  // Answers a request whose body finds no memory now.
+  std::function<HttpResponse()> overloaded;
+
   // The rest is for EventHttpServer only.
   HttpLimits limits;
   // Both within `request_timeout`: until the end of a header, and between two
@@ -51,6 +61,10 @@
   ConnectionIntake* intake = nullptr;
 };
 
+// What a request makes a process hold, in bodies: as read, decoded, in a
+// message to another process, and in its frame.
+inline constexpr size_t kCopiesOfBody = 4;
+
 // An HTTP/1.1 server on CivetWeb. Handlers run on its threads, several of them
 // concurrently.
 class HttpServer {
@@ -79,13 +93,21 @@
   static void EndReading(const std::vector<HttpServer*>& servers);
   void Close();
   HttpResponse Serve(mg_connection* connection, bool* close) const;
-  bool ReadBody(mg_connection* connection, std::string* body) const;
+  enum class BodyVerdict : uint8_t { kRead, kTooLarge, kOverloaded };
+  BodyVerdict ReadBody(mg_connection* connection, std::string* body,
+                       std::vector<MemoryBudget::Share>* memory) const;
+  // Null if there is none.
+  MemoryBudget::Share TakeMemory(size_t body_bytes) const;
+  void GiveBack(std::vector<MemoryBudget::Share>* memory) const;
   static void Write(mg_connection* connection, const HttpResponse& response,
                     bool close);
 
   HttpServerOptions options_;
   RouteTable routes_;
   mg_context* context_ = nullptr;
+  // The handlers' threads take their shares and give them back under it.
+  mutable std::mutex bodies_mutex_;
+  mutable MemoryBudget bodies_;
   // The number of requests whose response is not written yet.
   std::atomic<int> in_service_{0};
 };
--- a/src/http/job_json.cc
+++ b/src/http/job_json.cc
@@ -18,6 +18,7 @@
     case Reason::kIdMalformed:
       return 400;
     case Reason::kBodyTooLarge:
+    case Reason::kJobTooLarge:
       return 413;
     case Reason::kNotFound:
     case Reason::kNotHandedIn:
--- a/tests/home_test.cc
+++ b/tests/home_test.cc
@@ -245,5 +245,32 @@
   EXPECT_EQ(results[2].outcome, Outcome::kDone);
 }
 
+// Two jobs of half the memory fill it: the payloads count twice.
+TEST(HomeTest, RefusesWhatItHasNoMemoryFor) {
+  constexpr size_t kQuarter = size_t{16} << 20U;
+  CoreHarness h(1);
+  const auto submit = [&](const std::string& name, size_t bytes) {
+    JobSpec job = MakeJob(name, 1);
+    job.payloads[0].append(bytes, 'x');
+    const uint64_t id = h.Mint();
+    h.Submit(id, job);
+    return id;
+  };
+  const uint64_t too_large = submit("a", 2 * kQuarter);
+  ASSERT_EQ(h.answers(too_large).size(), 1U);
+  EXPECT_EQ(h.answers(too_large)[0].reason, Reason::kJobTooLarge);
+  const uint64_t held = submit("b", kQuarter);
+  const uint64_t refused = submit("c", kQuarter);
+  ASSERT_EQ(h.answers(refused).size(), 1U);
+  EXPECT_EQ(h.answers(refused)[0].reason, Reason::kHomeOverloaded);
+  const uint64_t ordinary = submit("d", 10);
+  h.Settle();
+  EXPECT_EQ(h.answers(held)[0].state, JobState::kComplete);
+  EXPECT_EQ(h.answers(ordinary)[0].state, JobState::kComplete);
+  const uint64_t next = submit("e", kQuarter);
+  h.Settle();
+  EXPECT_EQ(h.answers(next)[0].state, JobState::kComplete);
+}
+
 }  // namespace
 }  // namespace qs::test
