held: sockets and cancels are bounded by the machine's memory

What callers saw: nothing yet; found by reading. An entry with 120 MB takes 2,300 connections, each of which may hold 32 KiB that are not read while a request is in service: 73 MB beside what requests, jobs and the program take. It remembers 65,536 cancels whatever its memory.

Cause: connections were bounded by descriptors and cancels by a number, both without regard to the machine.

Why it works: MemoryPlan gives sockets a fifth and cancels a twentieth of the memory, and all its parts three quarters.

Tried and left: answering cancels in the order of their numbers instead of walking all that wait.

--- a/src/daemon/job_entry_role.cc
+++ b/src/daemon/job_entry_role.cc
@@ -45,6 +45,8 @@
   options.separates_interfering = kernel_->settings.separate_interfering != 0;
   options.worker_lease = kernel_->settings.worker_lease;
   options.max_jobs = kernel_->settings.max_held_jobs;
+  options.cancels.max_cancels =
+      kernel_->memory.MaxCancels(options.cancels.max_cancels);
   scheduler_ = std::make_unique<JobScheduler>(
       options, &kernel_->metrics, &log_,
       static_cast<uint32_t>(kernel_->incarnation.value), Clock::now());
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -39,9 +39,11 @@
       std::min(settings.max_intake_kib * kKib, memory.intake_bytes);
   limits.ordinary_bytes = settings.ordinary_kib * kKib;
   limits.ordinary_percent = settings.ordinary_percent;
-  limits.max_connections = settings.max_connections > 0
-                               ? settings.max_connections
-                               : descriptors / 4 * 3;
+  limits.max_connections =
+      settings.max_connections > 0
+          ? settings.max_connections
+          : memory.MaxConnections(settings.receive_buffer_bytes,
+                                  descriptors / 4 * 3);
   limits.max_connections_of_address = settings.max_connections_of_address;
   return limits;
 }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -87,7 +87,7 @@
     Row{"limits", "idle_timeout_ms", &Settings::idle_timeout, "30000", 100,
         kDayMs, "longest time that a connection waits for its next request"},
     Row{"limits", "receive_buffer_bytes", &Settings::receive_buffer_bytes,
-        "32768", 0, 16'777'216,
+        "16384", 0, 16'777'216,
         "receive buffer of a client's socket; 0 for the system's default"},
     Row{"limits", "max_intake_kib", &Settings::max_intake_kib, "32768", 64,
         16'777'216,
