soak: clients that keep to no limits, beside the callers

A job of theirs that was refused must not have run, and no process may exceed the smallest machine's memory.

--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -20,7 +20,9 @@
 
 #include "lib/cluster.h"
 #include "lib/held_cluster.h"
+#include "lib/raw_connection.h"
 #include "lib/soak_frame.h"
+#include "lib/usage.h"
 
 namespace {
 
@@ -69,6 +71,11 @@
 constexpr Millis kCancelBound{3000 + 4000 + 1000};
 constexpr Millis kCancelPatience{1000};
 constexpr uint32_t kCancelRetries = 20;
+// What an uncontrolled client waits for an answer before it sends its next.
+constexpr Millis kCrowdPatience{300};
+// The memory of the smallest machines in the deployments' sheets.
+constexpr double kEntryMemoryMb = 120;
+constexpr double kGuardMemoryMb = 128;
 // One job in so many has a task that crashes its workers.
 constexpr uint32_t kDeadlyOneIn = 30;
 
@@ -90,6 +97,7 @@
   // Callers cancel one job in so many, and hand cancelled ones in again; 0 for
   // none.
   uint32_t cancel_one_in = 0;
+  int crowd = 0;  // Clients that keep to no limits, beside the callers.
 };
 
 class HeldSoak {
@@ -116,11 +124,15 @@
   void Run() {
     std::vector<std::thread> threads =
         qs::StartCallers(options_.callers, [this](int i) { Caller(i); });
+    std::vector<std::thread> crowd = qs::StartCallers(
+        caller_options_.crowd, [this](int i) { UncontrolledClient(i); });
     ScheduleRollingRestarts();
     RunFailures();
     stop_ = true;
     for (std::thread& thread : threads) thread.join();
+    for (std::thread& thread : crowd) thread.join();
     CheckRecovery();
+    CheckMemory();
     CheckCancelled();
     for (int i = 0; i < cluster_->process_count(); ++i) Stop(i, std::nullopt);
     WaitUntilSettled();
@@ -141,7 +153,8 @@
     std::printf("starts %d, crashes of runs %d, deadly jobs %d, given up %d",
                 ledger.starts(), ledger.crashes(), deadly_jobs_.load(),
                 given_up_.load());
-    std::printf(", cancelled %zu, answers", cancels_.size());
+    std::printf(", most memory %.0f MB, cancelled %zu, answers", most_memory_,
+                cancels_.size());
     for (const auto& [status, count] : answers_) {
       std::printf(" %d:%d", status, count);
     }
@@ -223,6 +236,79 @@
     }
   }
 
+  // Sends one odd request after another, on one connection for as long as the
+  // entry keeps it open.
+  void UncontrolledClient(int number) {
+    Random random(options_.seed * 2000 + static_cast<uint32_t>(number));
+    const int entry = number % entries_;
+    std::unique_ptr<qs::test::RawConnection> connection;
+    while (!stop_) {
+      if (connection == nullptr) {
+        connection = std::make_unique<qs::test::RawConnection>(
+            cluster_->CallerAddressOf(entry));
+      }
+      const std::string id = cluster_->NextId();
+      if (!connection->connected() ||
+          !connection->Send(OddRequest(id, &random))) {
+        connection.reset();
+        std::this_thread::sleep_for(kReconnectDelay);
+        continue;
+      }
+      const bool leaves = random() % 4 == 0;
+      const bool has_data = connection->WaitForData(kCrowdPatience);
+      std::string head;
+      if (has_data && !leaves) {
+        connection->SetPatience(kCrowdPatience);
+        head = connection->ReadUntil("\r\n\r\n");
+      }
+      if (head.starts_with("HTTP/1.1 4")) {
+        const std::lock_guard lock(mutex_);
+        refused_.push_back(id);
+        ++answers_[std::stoi(head.substr(head.find(' ') + 1))];
+      }
+      // The rest of an answer is left unread.
+      if (head.empty() || random() % 2 == 0) connection.reset();
+    }
+  }
+
+  static std::string OddRequest(const std::string& id, Random* random) {
+    // What the stand-ins of workers take every task for.
+    const std::string needs = R"(,"cpu":4000,"memMb":64)";
+    const auto post = [&](const std::string& body) {
+      return "POST /q/" + id +
+             " HTTP/1.1\r\nHost: jobs.example\r\n"
+             "Quetzalspindle-Deadline-Ms: 60000\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    const auto job = [&](const std::string& phases) {
+      return post(R"({"bestEffort":true,"spec":"5","phases":[)" + phases +
+                  "]}");
+    };
+    const std::string many = std::to_string(500 + (*random)() % 12'000);
+    switch ((*random)() % 8) {
+      case 0:
+        return job(R"({"count":)" + many + needs + R"(,"estimateMs":1})");
+      case 1:
+        return job(R"({"count":)" + many + needs + "}");
+      case 2:
+        return job(R"({"count":)" + many + needs + R"(,"constraints":"none"})");
+      case 3:
+        return job(R"({"count":200)" + needs + R"(},{"count":200,"after":[0])" +
+                   needs + "}");
+      case 4: {
+        std::string steps = "{}";
+        for (int i = 0; i < 40'000; ++i) steps += ",{}";
+        return job(steps);
+      }
+      case 5:
+        return "DELETE /q/" + id + " HTTP/1.1\r\nHost: jobs.example\r\n\r\n";
+      case 6:
+        return "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\n\r\n";
+      default:  // Does not end.
+        return post(std::string(20'000, 'x')).substr(0, 15'000);
+    }
+  }
+
   // Cancels the job at some time, at any entry, until one acknowledges it.
   std::thread StartCanceller(const std::string& id, Millis run_time,
                              Random* random) {
@@ -959,6 +1045,16 @@
     }
   }
 
+  void CheckMemory() {
+    for (int i = 0; i < cluster_->process_count(); ++i) {
+      const double peak = qs::UsageOf(cluster_->process(i).pid()).peak_mb;
+      const bool is_within =
+          peak <= (i < entries_ ? kEntryMemoryMb : kGuardMemoryMb);
+      if (!is_within) RecordViolation("memory of the machine", Name(i), 0);
+      most_memory_ = std::max(most_memory_, peak);
+    }
+  }
+
   void CheckServed() {
     for (int i = 0; i < entries_; ++i) {
       const bool recovered = qs::test::WaitUntil(
@@ -1044,7 +1140,9 @@
       {"a planned stop ends in its grace time", 0},
       {"jobs are served once failures stop", 0},
       {"nothing starts in an evacuated zone", 0},
+      {"memory of the machine", 0},
   };
+  double most_memory_ = 0;  // At the end, of all processes.
 };
 
 }  // namespace
@@ -1083,6 +1181,9 @@
   app.add_option("--cancel-one-in", caller_options.cancel_one_in,
                  "callers cancel one job in so many")
       ->check(CLI::Range(1, 1000));
+  app.add_option("--crowd", caller_options.crowd,
+                 "clients that keep to no limits, beside the callers")
+      ->check(CLI::Range(0, 1000));
   CLI11_PARSE(app, argc, argv);
   caller_options.longest_unnoticed = Millis(longest_unnoticed);
   cluster_options.guards = options.guards;
