held: an entry bounds the offers of workers that it remembers

What callers saw: nothing yet; found by reading. Whoever reaches a guard's announcement listener, and speaks as its worker, may announce other labels each second, 64,000 bytes at a time. Every linked entry kept each of them.

Cause: offers are remembered for good, so that a job which no worker could ever run is told from one that waits; nothing bounded them.

Evidence: WorkerTableTest.OffersBeyondTheirMemoryAreNotRemembered with the former worker_table.cc: red, 68 offers of 60,000 bytes for a bound of 34, and no end.

An entry that had to leave one out calls no job impossible any more, as it cannot know; such a job waits and is given up at its time.

--- a/src/held/worker_table.cc
+++ b/src/held/worker_table.cc
@@ -119,6 +119,14 @@
          record.report.rack != need.preferred_rack;
 }
 
+size_t WorkerTable::BytesOf(const Offer& offer) {
+  size_t bytes = sizeof(Offer) + offer.service.size() + offer.zone.size();
+  for (const std::string& label : offer.labels) {
+    bytes += sizeof(std::string) + label.size();
+  }
+  return bytes;
+}
+
 void WorkerTable::AddOffer(Offer offer) {
   const auto is_covered = [](const Offer& one, const Offer& by) {
     return one.service == by.service && one.labels == by.labels &&
@@ -127,8 +135,16 @@
   for (const Offer& known : offers_) {
     if (is_covered(offer, known)) return;
   }
-  std::erase_if(offers_,
-                [&](const Offer& known) { return is_covered(known, offer); });
+  std::erase_if(offers_, [&](const Offer& known) {
+    const bool is_replaced = is_covered(known, offer);
+    if (is_replaced) offer_bytes_ -= BytesOf(known);
+    return is_replaced;
+  });
+  if (offer_bytes_ + BytesOf(offer) > options_.max_offer_bytes) {
+    lacks_offers_ = true;
+    return;
+  }
+  offer_bytes_ += BytesOf(offer);
   offers_.push_back(std::move(offer));
 }
 
@@ -384,6 +400,7 @@
 }
 
 bool WorkerTable::CouldEverRun(const PlacementNeed& need) const {
+  if (lacks_offers_) return true;
   const bool has_offer =
       std::any_of(offers_.begin(), offers_.end(),
                   [&](const Offer& offer) { return CanRun(offer, need); });
@@ -398,7 +415,7 @@
 
 bool WorkerTable::CouldRunInEvacuatedZonesOnly(
     const PlacementNeed& need) const {
-  if (evacuations_.zones().empty()) return false;
+  if (evacuations_.zones().empty() || lacks_offers_) return false;
   bool has_offer = false;
   for (const Offer& offer : offers_) {
     if (!CanRun(offer, need)) continue;
--- a/src/held/worker_table.h
+++ b/src/held/worker_table.h
@@ -42,6 +42,9 @@
   // there.
   size_t max_open_orders = 256;
   size_t max_order_bytes = size_t{1} << 20U;
+  // Memory of the offers that are remembered. A worker may announce other
+  // labels each time.
+  size_t max_offer_bytes = size_t{2} << 20U;
   // A worker that is slower than others of its kind by the first factor is an
   // outlier, until it is slower by less than the second only.
   double outlier_factor = 2.5;
@@ -111,6 +114,7 @@
 
   Map& records() { return records_; }
   const Map& records() const { return records_; }
+  size_t offer_count() const { return offers_.size(); }
   WorkerRecord* Find(Incarnation guard);
   WorkerRecord* OnGuardConnected(Address address, Incarnation guard,
                                  Instant now);
@@ -163,7 +167,8 @@
   // that is longer.
   int64_t DeliveredCpu(const std::string& service, Instant now) const;
   // Whether some worker that ever reported to this entry could run the task, or
-  // might: of one that has no capacity now, the usual capacity is not known.
+  // might: of one that has no capacity now, the usual capacity is not known,
+  // and there may have been no memory for an offer.
   bool CouldEverRun(const PlacementNeed& need) const;
   // Whether some worker that ever reported could run the task, but only workers
   // of evacuated zones.
@@ -213,6 +218,7 @@
     std::vector<std::string> labels;
     std::string zone;
   };
+  static size_t BytesOf(const Offer& offer);
   void AddOffer(Offer offer);
 
   Evacuations evacuations_;
@@ -220,6 +226,9 @@
   uint64_t zones_changed_revision_ = 0;
   Map records_;
   std::vector<Offer> offers_;  // None fits in another of the same kind.
+  size_t offer_bytes_ = 0;
+  // Some offer found no memory: that none is known says nothing any more.
+  bool lacks_offers_ = false;
 };
 
 }  // namespace qs
--- a/tests/worker_table_test.cc
+++ b/tests/worker_table_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 #include "held_harness.h"
@@ -319,5 +320,26 @@
   EXPECT_NE(table_.Choose(need, false, At(0), &guard), nullptr);
 }
 
+// Guards against a worker that announces other labels each time.
+TEST_F(WorkerTableTest, OffersBeyondTheirMemoryAreNotRemembered) {
+  constexpr size_t kLabelBytes = 60'000;
+  const size_t fits = WorkerTableOptions().max_offer_bytes / kLabelBytes;
+  PlacementNeed need;
+  need.service = "svc";
+  size_t remembered = 0;
+  for (size_t i = 0; i < 2 * fits; ++i) {
+    RunReport report = MakeReport(1);
+    report.labels = {std::string(kLabelBytes, 'x') + std::to_string(i)};
+    report.zone = "z0";
+    Report(0, report);
+    remembered = std::max(remembered, table_.offer_count());
+  }
+  EXPECT_GT(remembered, fits / 2);
+  EXPECT_LE(remembered, fits);
+  // It may have been among those that were not remembered.
+  need.required_label = "unknown";
+  EXPECT_TRUE(table_.CouldEverRun(need));
+}
+
 }  // namespace
 }  // namespace qs::test
