review: the stand-in of the platform states the machine's memory

The deployment's templates ask for `limits.memoryMb` since, which DEPLOY.md lists among the fields of a node; the stand-in fills templates from a list of its own, as it got `limits.maxFds` in. No check has changed.

--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -150,6 +150,7 @@
   Replace(&text, "{{platform.address}}", At(kStoreHost, kStorePort).ToString());
   Replace(&text, "{{app}}", app);
   Replace(&text, "{{limits.maxFds}}", "4100");
+  Replace(&text, "{{limits.memoryMb}}", "128");
   Replace(&text, "{{#seeds}}{{.}} {{/seeds}}", seeds);
   if (text.find("{{") != std::string::npos) {
     std::fprintf(stderr, "%s has an unknown field\n",
