soak: an answer that comes late is not taken for the next one's

Traced: an uncontrolled client left the body of an answer unread, took that for the answer of its cancel, and then took the cancel's 410, which came after 497 ms, for the answer of the job that it had sent next; the entry's log shows that job admitted and its caller leave. Only answers that are certain to be those of the request count now; each connection still has one at the least.

A process that outlives its grace time has its threads printed before it is killed.

--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -12,6 +12,8 @@
 #include <array>
 #include <atomic>
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <mutex>
 #include <numeric>
 #include <optional>
@@ -242,8 +244,11 @@
     Random random(options_.seed * 2000 + static_cast<uint32_t>(number));
     const int entry = number % entries_;
     std::unique_ptr<qs::test::RawConnection> connection;
+    // Whether what comes next on the connection answers the next request.
+    bool is_in_step = true;
     while (!stop_) {
       if (connection == nullptr) {
+        is_in_step = true;
         connection = std::make_unique<qs::test::RawConnection>(
             cluster_->CallerAddressOf(entry));
       }
@@ -261,12 +266,13 @@
         connection->SetPatience(kCrowdPatience);
         head = connection->ReadUntil("\r\n\r\n");
       }
-      if (head.starts_with("HTTP/1.1 4")) {
+      if (is_in_step && head.starts_with("HTTP/1.1 4")) {
         const std::lock_guard lock(mutex_);
         refused_.push_back(id);
         ++answers_[std::stoi(head.substr(head.find(' ') + 1))];
       }
       // The rest of an answer is left unread.
+      is_in_step = false;
       if (head.empty() || random() % 2 == 0) connection.reset();
     }
   }
@@ -628,6 +634,23 @@
     if (state(i).stops_by) state(i).stops_by = Clock::now() + kLongestStop;
   }
 
+  // What each thread of the process does, a line each.
+  static std::string ThreadsOf(pid_t pid) {
+    std::string text;
+    std::error_code error;
+    for (const auto& thread : std::filesystem::directory_iterator(
+             "/proc/" + std::to_string(pid) + "/task", error)) {
+      for (const char* file : {"stat", "wchan", "syscall"}) {
+        std::ifstream stream(thread.path() / file);
+        std::string line;
+        std::getline(stream, line);
+        text += line + " ";
+      }
+      text += "\n";
+    }
+    return text;
+  }
+
   void Watch(int i) {
     ProcessState& seen = state(i);
     if (seen.is_down) return;
@@ -636,6 +659,7 @@
         return;
       }
       RecordViolation("a planned stop ends in its grace time", Name(i), -2);
+      std::printf("%s", ThreadsOf(cluster_->process(i).pid()).c_str());
       cluster_->process(i).Kill();
       return BringDown(i, seen.downtime);
     }
