held: a caller that sends its job again joins it, however full the entry is

What callers saw: a caller whose connection broke sends its job again.

Cause: the budget was asked before the held job was looked for.

Evidence: JoinedJobTest.AHeldJobIsJoinedWhereItWouldNotFitTwice: red before, 429 entry_overloaded for the second submission.

Why it works: the same id as a held job's is joined without a share, and its decoded steps are dropped at once. If that job ends before the caller has joined it, the answer says that the outcome is unknown.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -117,7 +117,11 @@
   if (job->is_unsupported) return refuse(Reason::kNotSupported, queue.name);
   job->queue = queue.name;
   JobBudget::Admission admission = job_budget_.Admit(*job);
-  if (admission.refusal != Reason::kNone) {
+  if (admission.refusal != Reason::kNone && scheduler_->Holds(job->id)) {
+    // The caller joins the held job, which a refusal would say not to run.
+    job->steps.clear();
+    job->payload.clear();
+  } else if (admission.refusal != Reason::kNone) {
     return refuse(admission.refusal,
                   "jobs hold " + std::to_string(job_budget_.bytes()) +
                       " bytes, this one " + std::to_string(BytesOfJob(*job)));
@@ -140,6 +144,12 @@
     Log(LogLevel::kInfo, "caller_left", {{"job", job.id}, {"open_runs", "0"}});
     return;
   }
+  if (memory == nullptr && !scheduler_->Holds(job.id)) {
+    // The held job that its caller was to join has ended meanwhile, and a part
+    // of it may have run.
+    return Respond(call, kernel_->deployment->callers().EncodeAnswer(
+                             {HeldState::kFailed, Reason::kGivenUpRunning}));
+  }
   const uint64_t caller = next_caller_++;
   open_calls_[caller] = call;
   call->NotifyLeft([this, caller] { OnCallerLeft(caller); });
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -59,7 +59,7 @@
   void OnCall(const Call& call);
   void OnSubmit(const QueueDeclaration& queue, const std::string& id,
                 const Call& call);
-  // `memory` is that of the job.
+  // `memory` is that of the job; null if its caller is to join a held one.
   void SubmitJob(const Call& call, HeldJob job, MemoryBudget::Share memory,
                  Instant received);
   void OnCallerLeft(uint64_t caller);
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -153,6 +153,7 @@
   bool HasRunsAt(Incarnation guard) const;
 
   size_t held_jobs() const { return jobs_.size(); }
+  bool Holds(const std::string& id) const { return job_by_id_.contains(id); }
   // Number of jobs of a queue of which no task was started.
   size_t CountPendingJobs(const std::string& queue) const;
 
--- a/tests/crowd_jobs_test.cc
+++ b/tests/crowd_jobs_test.cc
@@ -157,6 +157,36 @@
   ExpectAliveWithinMemory();
 }
 
+// A refusal would say that nothing of the job runs.
+TEST(JoinedJobTest, AHeldJobIsJoinedWhereItWouldNotFitTwice) {
+  HeldClusterOptions options;
+  options.guards = 1;
+  options.entries = 1;
+  options.limits = "memory_mb = 16\n";
+  HeldCluster cluster(options);
+  ASSERT_TRUE(cluster.WaitReady());
+  const std::string body =
+      JobOf(R"({"count":1000,"cpu":16000,"estimateMs":1})");
+  const auto post = [&](const std::string& id) {
+    return "POST /q/" + id +
+           " HTTP/1.1\r\nHost: jobs.example\r\n"
+           "Quetzalspindle-Deadline-Ms: 60000\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  const std::string id = cluster.NextId();
+  const auto answer_to = [&](Crowd* caller, const std::string& of) {
+    caller->SendEach([&] { return post(of); });
+    caller->AwaitAnswers(kRoundTime);
+    return caller->Answers().at(0);
+  };
+  Crowd first(cluster.EntryAt(0, 8000), 1);
+  EXPECT_EQ(answer_to(&first, id), "");
+  Crowd other(cluster.EntryAt(0, 8000), 1);
+  EXPECT_TRUE(answer_to(&other, cluster.NextId()).starts_with("HTTP/1.1 429"));
+  Crowd again(cluster.EntryAt(0, 8000), 1);
+  EXPECT_EQ(answer_to(&again, id), "");
+}
+
 class DecodedBodiesTest : public CrowdJobsTest {};
 
 TEST_P(DecodedBodiesTest, TakeLittleMemory) {
