--- a/tests/memory_budget_test.cc
+++ b/tests/memory_budget_test.cc
@@ -29,6 +29,7 @@
   EXPECT_EQ(budget.Judge(101), Verdict::kFull);
   EXPECT_EQ(budget.Take(101), nullptr);
   std::vector<MemoryBudget::Share> ordinary;
+  ordinary.reserve(4);
   for (int i = 0; i < 4; ++i) ordinary.push_back(budget.Take(100));
   EXPECT_NE(ordinary.back(), nullptr);
   EXPECT_EQ(budget.Judge(1), Verdict::kFull);
