guard: kept answers at /v1/ are within the machine's memory

Found by reading the change again: where the machine's memory is stated, a home bounds its running jobs by it, but kept 64 MiB of answers whatever it is, half of a machine of 128 MB. They have the same part now.

--- a/src/daemon/guard_role.cc
+++ b/src/daemon/guard_role.cc
@@ -32,7 +32,11 @@
   options.queue_per_slot = settings.queue_per_slot;
   options.max_waiting_tasks = settings.max_waiting_tasks;
   options.max_jobs = settings.max_jobs;
-  if (kernel.memory.is_known) options.max_job_bytes = kernel.memory.work_bytes;
+  if (kernel.memory.is_known) {
+    // Running jobs, and the answers of ended ones.
+    options.max_job_bytes = kernel.memory.work_bytes;
+    options.max_answer_bytes = kernel.memory.work_bytes;
+  }
   options.max_deadline = settings.max_deadline;
   options.id_lifetime = settings.id_lifetime;
   options.answer_retention = settings.answer_retention;
