--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -148,6 +148,8 @@
   }
 
   void StartEdge(int i) { StartProcess("edge-" + std::to_string(i), true, i); }
+  // The edges that the settings of processes name as seeds from now on.
+  void SetSeeds(std::vector<int> edges) { seeds_ = std::move(edges); }
   void StartSide(int i) { StartProcess("side-" + std::to_string(i), false, i); }
 
   void Signal(const std::string& name, int number) const {
@@ -254,7 +256,7 @@
         {"platform.address", Endpoint{net_ + "200", kStorePort}.Text()},
         {"limits.memoryMb", is_edge ? "260" : "128"},
         {"limits.maxFds", is_edge ? "4100" : "4096"}};
-    for (int k = 0; k < std::min(options_.edges, 3); ++k) {
+    for (const int k : seeds_) {
       settings.lists["seeds"].push_back(Endpoint{EdgeIp(k), kControlPort}.Text());
     }
     const std::string role = is_edge ? "entry" : "guard";
@@ -295,6 +297,7 @@
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Minion>> minions_;
   std::map<std::string, pid_t> pids_;
+  std::vector<int> seeds_{0, 1, 2};
   std::atomic<uint32_t> next_id_{0};
 };
 
