held: a step without tasks needs no worker and takes no time

With such a step, a job of empty steps alone would have ended at its deadline or never, what comes after an empty step would have started beside the step before it, and a job would have failed or been refused for a worker that only its empty step asks for.

Cause: the scheduler had no notion of a step without tasks. A job ended when its last task ended, so one without tasks never did. A step was taken for done when it had no open tasks, whether or not its turn had come. Estimates, resources and labels of all steps counted for the critical path, the predicted wait, and the checks for impossible jobs and evacuated zones. A job without steps read past the end of its list.

Fix: step_graph.h decides what steps mean: what is done, what is unblocked, how long chains take, and which steps need workers. Such a step is done as soon as those before it are, takes no time and needs nothing. A job without tasks is complete when it is submitted. It counts as one task for max_tasks_of_job, as an entry walks all steps each time one is done.

--- a/include/quetzalspindle/held_job.h
+++ b/include/quetzalspindle/held_job.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -54,7 +53,8 @@
   }
 };
 
-// A group of tasks of one job that have the same needs.
+// A group of tasks of one job that have the same needs. See step_graph.h for a
+// step that has none.
 struct HeldStep {
   uint32_t tasks = 0;                // Number of tasks.
   Resources task_resources;          // Resources that one task needs.
@@ -113,34 +113,4 @@
          static_cast<double>(kMaxJobWork) * kCpuMillisPerCore;
 }
 
-// Estimated run time of the critical path: the chain of steps, each of which
-// depends on the one before, that takes longest.
-inline Millis CriticalPathEstimate(const HeldJob& job) {
-  std::vector<Millis> finish;
-  Millis longest{0};
-  for (const HeldStep& step : job.steps) {
-    Millis start{0};
-    for (const uint32_t earlier : step.depends_on) {
-      if (earlier < finish.size()) start = std::max(start, finish[earlier]);
-    }
-    finish.push_back(start + step.estimate);
-    longest = std::max(longest, finish.back());
-  }
-  return longest;
-}
-
-// Estimated run time, for each step, of the longest chain of steps that starts
-// after it.
-inline std::vector<Millis> EstimatesAfterSteps(const HeldJob& job) {
-  std::vector<Millis> after(job.steps.size(), Millis(0));
-  for (size_t i = job.steps.size(); i-- > 0;) {
-    for (const uint32_t earlier : job.steps[i].depends_on) {
-      if (earlier >= i) continue;
-      after[earlier] =
-          std::max(after[earlier], job.steps[i].estimate + after[i]);
-    }
-  }
-  return after;
-}
-
 }  // namespace qs
--- /dev/null
+++ b/include/quetzalspindle/step_graph.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "quetzalspindle/held_job.h"
+#include "quetzalspindle/time.h"
+
+// The order of the steps of a job, and the time that they take.
+//
+// A step without tasks orders other steps and does nothing else: it is done as
+// soon as the steps that it depends on are done, takes no time and needs no
+// worker, whatever its other fields state. A job without tasks is complete when
+// it is submitted.
+
+namespace qs {
+
+bool HasTasks(const HeldJob& job);
+
+// Whether `predicate` holds for some step that has tasks. Every decision about
+// the workers that a job needs goes through this function.
+template <typename Predicate>
+bool AnyStepWithTasks(const HeldJob& job, Predicate predicate) {
+  return std::any_of(
+      job.steps.begin(), job.steps.end(),
+      [&](const HeldStep& step) { return step.tasks > 0 && predicate(step); });
+}
+
+// Returns, for each step, whether all steps that it depends on are done.
+// `open_tasks` holds, for each step, the number of its tasks that are not done.
+std::vector<bool> UnblockedSteps(const std::vector<HeldStep>& steps,
+                                 const std::vector<uint32_t>& open_tasks);
+
+// Estimated run time of the critical path: the chain of steps, each of which
+// depends on the one before, that takes longest.
+Millis CriticalPathEstimate(const HeldJob& job);
+
+// Estimated run time, for each step, of the longest chain of steps that starts
+// after it.
+std::vector<Millis> EstimatesAfterSteps(const HeldJob& job);
+
+}  // namespace qs
--- a/src/held/backlog_forecast.cc
+++ b/src/held/backlog_forecast.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "quetzalspindle/step_graph.h"
+
 namespace qs {
 namespace {
 
@@ -44,11 +46,14 @@
   input.work_total = WorkInAll(queue.service, now);
   input.queue_work = QueueWork(queue, now);
   input.guarantee = shares_->GuaranteeOf(queue.name);
-  for (const HeldStep& step : job.steps) input.job_work += StepWork(step);
-  // The wait is that of the task that starts last.
-  if (!job.steps.empty()) {
-    input.job_work -= std::min(input.job_work, TaskWork(job.steps.back()));
+  uint64_t last_task_work = 0;
+  for (const HeldStep& step : job.steps) {
+    if (step.tasks == 0) continue;
+    input.job_work += StepWork(step);
+    last_task_work = TaskWork(step);
   }
+  // The wait is that of the task that starts last.
+  input.job_work -= std::min(input.job_work, last_task_work);
   input.can_start_now =
       input.work_total == 0 ||
       CanStartNow(queue.service, queue.name, job, objective, now);
@@ -122,18 +127,23 @@
 bool BacklogForecast::CanStartNow(const std::string& service,
                                   const std::string& queue, const HeldJob& job,
                                   Millis objective, Instant now) const {
-  return std::all_of(job.steps.begin(), job.steps.end(),
-                     [&](const HeldStep& step) {
-                       if (!step.depends_on.empty()) return true;
-                       PlacementNeed need;
-                       need.service = service;
-                       need.queue = queue;
-                       need.estimate = step.estimate;
-                       need.remaining = objective;
-                       need.resources = step.task_resources;
-                       need.required_label = step.required_label;
-                       return workers_->HasRoomFor(need, step.tasks, now);
-                     });
+  std::vector<uint32_t> open_tasks;
+  open_tasks.reserve(job.steps.size());
+  for (const HeldStep& step : job.steps) open_tasks.push_back(step.tasks);
+  const std::vector<bool> is_unblocked = UnblockedSteps(job.steps, open_tasks);
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    const HeldStep& step = job.steps[i];
+    if (step.tasks == 0 || !is_unblocked[i]) continue;
+    PlacementNeed need;
+    need.service = service;
+    need.queue = queue;
+    need.estimate = step.estimate;
+    need.remaining = objective;
+    need.resources = step.task_resources;
+    need.required_label = step.required_label;
+    if (!workers_->HasRoomFor(need, step.tasks, now)) return false;
+  }
+  return true;
 }
 
 }  // namespace qs
--- a/src/held/job_budget.cc
+++ b/src/held/job_budget.cc
@@ -1,5 +1,6 @@
 #include "held/job_budget.h"
 
+#include <algorithm>
 #include <string>
 
 namespace qs {
@@ -54,7 +55,10 @@
 
 JobBudget::Admission JobBudget::Admit(const HeldJob& job) {
   size_t tasks = 0;
-  for (const HeldStep& step : job.steps) tasks += step.tasks;
+  // A step without tasks costs as much time as one with a single task.
+  for (const HeldStep& step : job.steps) {
+    tasks += std::max<uint32_t>(step.tasks, 1);
+  }
   if (tasks > limits_.max_tasks) return {Reason::kTooManyTasks, nullptr};
   const size_t bytes = BytesOfJob(job);
   switch (budget_.Judge(bytes)) {
--- a/src/held/job_budget.h
+++ b/src/held/job_budget.h
@@ -20,7 +20,8 @@
 size_t BytesOfOrder(const RunOrder& order);
 
 struct JobBudgetLimits {
-  // Bounds the time that one job takes to be admitted or given up.
+  // Tasks of a job, where a step without tasks counts as one. Bounds the time
+  // that a job takes to be admitted or given up.
   uint32_t max_tasks = 0;
   size_t max_bytes = 0;  // Of all jobs of the process.
 };
--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -7,6 +7,7 @@
 #include "held/decision_log.h"
 #include "held/held_task_name.h"
 #include "held/job_budget.h"
+#include "quetzalspindle/step_graph.h"
 
 namespace qs {
 namespace {
@@ -41,6 +42,12 @@
          queue.latency_target;
 }
 
+// The rack that the job's first tasks prefer; empty for any.
+std::string FirstRackOf(const ScheduledJob& job) {
+  if (job.tasks.empty()) return {};
+  return job.spec.steps[job.tasks.front().step].preferred_rack;
+}
+
 JobState ToJobState(HeldState state) {
   switch (state) {
     case HeldState::kComplete:
@@ -125,10 +132,9 @@
   if (!knows_all_workers_ || workers_.evacuations().zones().empty()) {
     return false;
   }
-  return std::any_of(
-      job.steps.begin(), job.steps.end(), [&](const HeldStep& step) {
-        return workers_.CouldRunInEvacuatedZonesOnly(NeedOf(service, step));
-      });
+  return AnyStepWithTasks(job, [&](const HeldStep& step) {
+    return workers_.CouldRunInEvacuatedZonesOnly(NeedOf(service, step));
+  });
 }
 
 void JobScheduler::RefuseEvacuated(Instant now) {
@@ -239,6 +245,8 @@
     verdict.retry_after = retry_after;
     return verdict;
   };
+  // It is complete at once, so neither workers nor a stop are in its way.
+  if (!HasTasks(job)) return {};
   const Millis critical_path = CriticalPathEstimate(job);
   if (is_stopping_ && now + kEstimateFactor * critical_path > finish_by_) {
     return refuse(Reason::kStopping, kRestartRetry);
@@ -294,10 +302,9 @@
 
 bool JobScheduler::CouldRunEveryStep(const std::string& service,
                                      const HeldJob& job) const {
-  return std::all_of(job.steps.begin(), job.steps.end(),
-                     [&](const HeldStep& step) {
-                       return workers_.CouldEverRun(NeedOf(service, step));
-                     });
+  return !AnyStepWithTasks(job, [&](const HeldStep& step) {
+    return !workers_.CouldEverRun(NeedOf(service, step));
+  });
 }
 
 void JobScheduler::SetHasSeenAllWorkers(bool has_seen, Instant now) {
@@ -367,10 +374,14 @@
   log_->Record("job_admitted", {{"job", job.spec.id},
                                 {"queue", queue.name},
                                 {"tasks", Text(job.tasks.size())},
-                                {"rack", job.spec.steps[0].preferred_rack},
+                                {"rack", FirstRackOf(job)},
                                 {"objective_ms", Text(objective)},
                                 {"config_version", Text(catalog_->version)}});
-  if (!job.awaits_earlier_runs) UnblockSteps(&job, now);
+  if (job.open_tasks == 0) {
+    FinishJob(&job, {HeldState::kComplete, Reason::kNone, Millis(0)}, now);
+  } else if (!job.awaits_earlier_runs) {
+    UnblockSteps(&job, now);
+  }
 }
 
 void JobScheduler::AnswerCaller(uint64_t caller, const std::string& id,
@@ -403,17 +414,11 @@
 // Tasks and runs.
 
 void JobScheduler::UnblockSteps(Job* job, Instant now) {
-  std::vector<bool> is_ready;
-  is_ready.reserve(job->spec.steps.size());
-  for (const HeldStep& step : job->spec.steps) {
-    is_ready.push_back(std::all_of(
-        step.depends_on.begin(), step.depends_on.end(), [&](uint32_t earlier) {
-          return job->open_tasks_in_step[earlier] == 0;
-        }));
-  }
+  const std::vector<bool> is_unblocked =
+      UnblockedSteps(job->spec.steps, job->open_tasks_in_step);
   for (uint32_t i = 0; i < job->tasks.size(); ++i) {
     const Task& task = job->tasks[i];
-    if (task.phase == TaskPhase::kBlocked && is_ready[task.step]) {
+    if (task.phase == TaskPhase::kBlocked && is_unblocked[task.step]) {
       Enqueue(job, i, now);
     }
   }
@@ -499,7 +504,7 @@
   need.resources = step.task_resources;
   need.estimate = step.estimate;
   need.queue = job.spec.queue;
-  need.width = std::max<uint32_t>(step.tasks, 1);
+  need.width = step.tasks;
   need.slack_factor = job.slack_factor;
   need.remaining = Elapsed(now, job.on_time_by) - after;
   need.useful = Elapsed(now, job.useful_by) - after;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -59,7 +59,7 @@
         "how long a stopping entry still accepts jobs, so that the balancer "
         "can take it out of rotation"},
     Row{"callers", "max_tasks_of_job", &Settings::max_tasks_of_job, "10000",
-        640, 100'000, "tasks of one job"},
+        640, 100'000, "tasks of one job; a step without tasks counts as one"},
     Row{"limits", "memory_mb", &Settings::memory_mb, "0", 0, 1'048'576,
         "memory of the machine, of which fixed parts bound what clients can "
         "make the process hold; 0 for the least that it runs on"},
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "held_harness.h"
+#include "quetzalspindle/step_graph.h"
 
 namespace qs::test {
 namespace {
@@ -95,6 +96,111 @@
   EXPECT_EQ(orders_[1].second.task, "a.0.1.0");
 }
 
+// Guards against a step that runs before the work that it depends on through a
+// step without tasks.
+TEST_F(JobSchedulerTest, AStepWithoutTasksKeepsTheOrderOfTheOthers) {
+  ConnectGuard(kGuardA, 0);
+  HeldJob job = MakeJob("a", 1);
+  job.steps.resize(4, job.steps[0]);
+  for (uint32_t step = 1; step < 4; ++step) {
+    job.steps[step].depends_on = {step - 1};
+  }
+  job.steps[1].tasks = job.steps[2].tasks = 0;
+  Submit(1, job, 10);
+  ASSERT_EQ(orders_.size(), 1U);
+  EXPECT_EQ(orders_[0].second.task, "a.0.0.0");
+  ReportEnd(0, RunOutcome::kDone, 100);
+  ASSERT_EQ(orders_.size(), 2U);
+  EXPECT_EQ(orders_[1].second.task, "a.0.3.0");
+  ReportEnd(1, RunOutcome::kDone, 200);
+  EXPECT_EQ(answers_[1].state, HeldState::kComplete);
+}
+
+// Guards against a job that nothing ends, as none of its tasks does.
+TEST_F(JobSchedulerTest, AJobWithoutTasksIsCompleteAtOnce) {
+  HeldJob job = MakeJob("a", 0);
+  job.steps.resize(3, job.steps[0]);
+  job.steps[2].depends_on = {0, 1};
+  // No worker is connected, and the process is about to end.
+  scheduler_.BeginStop(At(0));
+  Submit(1, job, 10);
+  job.steps.clear();
+  job.id = "b";
+  Submit(2, job, 10);
+  for (const uint64_t caller : {1, 2}) {
+    ASSERT_TRUE(answers_.contains(caller));
+    EXPECT_EQ(answers_[caller].state, HeldState::kComplete);
+  }
+  EXPECT_EQ(scheduler_.held_jobs(), 0U);
+  EXPECT_TRUE(orders_.empty());
+}
+
+TEST_F(JobSchedulerTest, AJobWithoutTasksIsAnsweredThoughARunOfItsIdGoesOn) {
+  ConnectGuard(kGuardA, 0);
+  Submit(1, MakeJob("a", 1), 10);
+  scheduler_.OnCallerLeft(1, At(20));
+  CollectActions(20);
+  ASSERT_TRUE(scheduler_.HasRunsAt(kGuardA));
+  Submit(2, MakeJob("a", 0), 30);
+  ASSERT_TRUE(answers_.contains(2));
+  EXPECT_EQ(answers_[2].state, HeldState::kComplete);
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
+TEST_F(JobSchedulerTest, AJobWithoutTasksThatWasCancelledIsNotComplete) {
+  scheduler_.OnCancel("a", CancelOrigin::kCaller, At(5));
+  Submit(1, MakeJob("a", 0), 10);
+  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
+  EXPECT_EQ(answers_[1].reason, Reason::kCancelled);
+}
+
+// Guards against a job that fails or is refused for a worker that none of its
+// tasks needs.
+TEST_F(JobSchedulerTest, AStepWithoutTasksNeedsNoWorker) {
+  RunReport report = MakeReport(1);
+  report.zone = "z1";
+  report.labels = {"common"};
+  ConnectGuard(kGuardA, 0, report);
+  RunReport evacuated = MakeReport(1);
+  evacuated.zone = "z2";
+  evacuated.labels = {"rare"};
+  ConnectGuard(kGuardB, 0, evacuated);
+  scheduler_.OnEvacuations(MakeEvacuations({"z2"}, 2), At(5));
+  uint64_t caller = 0;
+  for (const std::string label : {"none", "rare"}) {
+    HeldJob job = MakeJob("job-" + label, 0);
+    job.steps[0].required_label = label;
+    job.steps.push_back(MakeJob("", 1).steps[0]);
+    Submit(++caller, job, 10);
+    EXPECT_FALSE(answers_.contains(caller)) << label;
+    EXPECT_EQ(orders_.size(), caller);
+  }
+  HeldJob wide = MakeJob("wide", 0, 1'000'000);
+  wide.steps.push_back(MakeJob("", 1).steps[0]);
+  Submit(++caller, wide, 10);
+  EXPECT_EQ(orders_.size(), caller);
+  // An evacuation that comes later refuses a job only for steps with tasks.
+  scheduler_.SetHasSeenAllWorkers(false, At(20));
+  scheduler_.SetHasSeenAllWorkers(true, At(20));
+  scheduler_.OnEvacuations(MakeEvacuations({"z2", "z3"}, 3), At(20));
+  CollectActions(20);
+  EXPECT_TRUE(answers_.empty());
+}
+
+// Guards against a job that is refused, or held longer than it is of use, for
+// the run time of a step that runs nothing.
+TEST_F(JobSchedulerTest, AStepWithoutTasksTakesNoTime) {
+  HeldJob job = MakeJob("a", 1);
+  job.steps.resize(3, job.steps[0]);
+  job.steps[1].tasks = 0;
+  job.steps[1].estimate = Millis(10'000);
+  job.steps[1].depends_on = {0};
+  job.steps[2].depends_on = {1};
+  EXPECT_EQ(CriticalPathEstimate(job), Millis(200));
+  const std::vector<Millis> after{Millis(100), Millis(100), Millis(0)};
+  EXPECT_EQ(EstimatesAfterSteps(job), after);
+}
+
 TEST_F(JobSchedulerTest, AFailedTaskIsRunAgainElsewhereAndThenFailsTheJob) {
   ConnectGuard(kGuardA, 0);
   ConnectGuard(kGuardB, 0);
