--- a/tests/lib/fake_worker.cc
+++ b/tests/lib/fake_worker.cc
@@ -71,6 +71,15 @@
   if (crashes.running >= 3) ++crashes.starts_after_three;
 }
 
+std::vector<std::string> RunLedger::StartedTasksOf(const std::string& job) {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> tasks;
+  for (const auto& [task, runs] : runs_by_task_) {
+    if (JobOf(task) == job) tasks.push_back(task);
+  }
+  return tasks;
+}
+
 void RunLedger::Crashed(const std::string& task, const std::string& run,
                         bool was_running, bool was_alone) {
   const std::lock_guard lock(mutex_);
--- a/tests/lib/fake_worker.h
+++ b/tests/lib/fake_worker.h
@@ -44,6 +44,8 @@
   // Of the tasks of a job.
   int starts_of(const std::string& job);
   int done_of(const std::string& job);
+  // The names of those that started, sorted.
+  std::vector<std::string> StartedTasksOf(const std::string& job);
   // The most failures of one task.
   int failed_of(const std::string& job);
   // Whether two workers crashed under one task of the job, which was alone with
--- a/tests/lib/held_cluster.h
+++ b/tests/lib/held_cluster.h
@@ -118,6 +118,9 @@
   Answer HandIn(int entry, const std::string& id, int tasks, Millis run_time,
                 const std::string& prefix = "/q/",
                 Millis patience = Millis(8000), std::optional<int> deadly = {});
+  // Hands in a job with these steps, as the platform writes them.
+  Answer HandInSteps(int entry, const std::string& id,
+                     const nlohmann::json& steps);
   // Returns the status of the answer, 0 where none came.
   int Cancel(int entry, const std::string& id,
              Millis patience = Millis(2000)) const;
@@ -152,12 +155,21 @@
  public:
   explicit HeldCaller(HeldCluster* cluster) : cluster_(cluster) {}
 
+  // Whether jobs get steps without tasks before and after the one that has
+  // them.
+  void SetHasEmptySteps(bool has_empty_steps) {
+    has_empty_steps_ = has_empty_steps;
+  }
   HeldCluster::Answer HandIn(int entry, const std::string& id, int tasks,
                              Millis run_time, const std::string& prefix,
                              Millis patience, std::optional<int> deadly = {});
+  HeldCluster::Answer HandInBody(int entry, const std::string& id,
+                                 const nlohmann::json& body,
+                                 const std::string& prefix, Millis patience);
 
  private:
   HeldCluster* cluster_;
+  bool has_empty_steps_ = false;
   std::map<int, std::unique_ptr<RawConnection>> connections_;
 };
 
--- a/tools/held_soak.cc
+++ b/tools/held_soak.cc
@@ -189,6 +189,7 @@
     Random cancel_random(random() ^ options_.seed);
     random.seed(options_.seed * 1000 + static_cast<uint32_t>(number));
     HeldCaller caller(cluster_);
+    caller.SetHasEmptySteps(number % 4 == 3);
     while (!stop_) {
       ReturnCancelled(&cancel_random);
       const std::string id = cluster_->NextId();
