platform: a job whose spec is omitted has an empty one

What callers saw: a job with an empty spec, which callers leave out, was answered 400, as often as it was sent.

Cause: the reader required `spec`.

What follows passes an empty payload on: HeldPathTest.AJobWithoutASpecIsRun runs one on real processes.

Evidence: before, that test had 400 for 200, and CallerHttpTest.AnOmittedFieldOfAJobIsReadAsItsEmptyValue, a table of the fields of a job, failed for /spec. AWrongFieldOfAJobIsAFaultAtItsPlace passed before and after: a wrong value is still a fault.

--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -122,6 +122,18 @@
   }
 }
 
+// Guards against a job that is refused because its spec is empty, and so
+// omitted.
+TEST_F(HeldPathTest, AJobWithoutASpecIsRun) {
+  const std::string id = NextId();
+  const json step = {{"count", 2}, {"cpu", 4000}, {"memMb", 64}};
+  const HeldCluster::Answer answer = HeldCaller(&cluster_).HandInBody(
+      0, id, {{"bestEffort", true}, {"phases", {step}}}, "/q/", Millis(8000));
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(json::parse(answer.body).value("state", ""), "completed");
+  EXPECT_EQ(ledger_.done_of(id), 2);
+}
+
 TEST_F(HeldPathTest, AKilledGuardsTasksAreRepeatedOnceTheyHaveEnded) {
   ASSERT_TRUE(WaitUntil([&] { return UsesBothWorkers(0); }));
   int status = -1;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -117,6 +117,95 @@
   EXPECT_FALSE(job->is_unsupported);
 }
 
+// What is read of a job, as text.
+std::string TextOf(const HeldJob& job) {
+  std::string text = job.payload + (job.is_unsupported ? " unsupported" : "");
+  for (const HeldStep& step : job.steps) {
+    text += "\n";
+    for (const int64_t number :
+         {int64_t{step.tasks}, step.task_resources.cpu_millis,
+          step.task_resources.memory_mb, step.task_resources.accelerators,
+          step.estimate.count(), int64_t{step.max_per_worker}}) {
+      text += std::to_string(number) + " ";
+    }
+    text += step.required_label + "/" + step.preferred_rack + "/";
+    for (const uint32_t earlier : step.depends_on) {
+      text += std::to_string(earlier) + ",";
+    }
+  }
+  return text;
+}
+
+// A field of a job: its value where callers omit it, and values that it cannot
+// have.
+struct FieldCase {
+  const char* pointer;
+  const char* empty;
+  std::vector<const char*> wrong;
+};
+
+std::vector<FieldCase> FieldsOfAJob() {
+  const std::vector<const char*> not_a_number = {"-1",   "0.0",   "\"4\"",
+                                                 "null", "false", "1e300"};
+  const std::vector<const char*> not_a_text = {"0", "null", "false", "[]"};
+  return {
+      {"/spec", "\"\"", not_a_text},
+      {"/phases/1/count", "0", not_a_number},
+      {"/phases/1/cpu", "0", not_a_number},
+      {"/phases/1/memMb", "0", not_a_number},
+      {"/phases/1/gpu", "0", not_a_number},
+      {"/phases/1/estimateMs", "0", not_a_number},
+      {"/phases/1/antiAffinity", "0", not_a_number},
+      {"/phases/1/constraints", "\"\"", not_a_text},
+      {"/phases/1/affinity", "\"\"", not_a_text},
+      {"/phases/1/after", "[]", {"0", "null", "{}", "[-1]", "[1]", "[0.0]"}},
+  };
+}
+
+json BodyWith(const char* pointer, const char* value) {
+  json body = HeldBody();
+  body["phases"][1]["count"] = 3;
+  body[json::json_pointer(pointer)] = json::parse(value);
+  return body;
+}
+
+json BodyWithout(const std::string& pointer) {
+  json body = BodyWith("/phases/1/gpu", "0");
+  const size_t name = pointer.rfind('/');
+  body[json::json_pointer(pointer.substr(0, name))].erase(
+      pointer.substr(name + 1));
+  return body;
+}
+
+// Guards against a job that is refused, or read as another one, because its
+// caller left out a field whose value is zero, false or empty.
+TEST(CallerHttpTest, AnOmittedFieldOfAJobIsReadAsItsEmptyValue) {
+  for (const FieldCase& field : FieldsOfAJob()) {
+    SCOPED_TRACE(field.pointer);
+    const auto written = CallerHttp().DecodeJob(
+        kId, JobRequest(BodyWith(field.pointer, field.empty)), Millis(1));
+    const auto omitted = CallerHttp().DecodeJob(
+        kId, JobRequest(BodyWithout(field.pointer)), Millis(1));
+    EXPECT_TRUE(written) << written.error().ToText();
+    EXPECT_TRUE(omitted) << omitted.error().ToText();
+    if (!written || !omitted) continue;
+    EXPECT_EQ(TextOf(*omitted), TextOf(*written));
+  }
+}
+
+TEST(CallerHttpTest, AWrongFieldOfAJobIsAFaultAtItsPlace) {
+  for (const FieldCase& field : FieldsOfAJob()) {
+    for (const char* value : field.wrong) {
+      SCOPED_TRACE(std::string(field.pointer) + " " + value);
+      const auto job = CallerHttp().DecodeJob(
+          kId, JobRequest(BodyWith(field.pointer, value)), Millis(1));
+      ASSERT_FALSE(job);
+      EXPECT_TRUE(job.error().items()[0].place.starts_with(field.pointer))
+          << job.error().ToText();
+    }
+  }
+}
+
 TEST(CallerHttpTest, ReportsEveryFaultOfAJob) {
   const json body = {{"spec", 5},
                      {"bestEffort", true},
