platform: a job whose phases are omitted has no steps

What callers saw: a job with an empty list of phases, which callers leave out, was answered 400.

Cause: the reader required `phases` with a step in it.

Such a job has no tasks, so the scheduler completes it when it is submitted.

--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -134,6 +134,21 @@
   EXPECT_EQ(ledger_.done_of(id), 2);
 }
 
+// Guards against a job that is refused because it has no steps, and so no
+// `phases`.
+TEST_F(HeldPathTest, AJobWithoutStepsIsComplete) {
+  for (const json& body :
+       {json{{"bestEffort", true}},
+        json{{"bestEffort", true}, {"phases", json::array()}}}) {
+    const std::string id = NextId();
+    const HeldCluster::Answer answer =
+        HeldCaller(&cluster_).HandInBody(0, id, body, "/q/", Millis(8000));
+    EXPECT_EQ(answer.status, 200) << body;
+    EXPECT_EQ(json::parse(answer.body).value("state", ""), "completed");
+    EXPECT_EQ(ledger_.starts_of(id), 0);
+  }
+}
+
 TEST_F(HeldPathTest, AKilledGuardsTasksAreRepeatedOnceTheyHaveEnded) {
   ASSERT_TRUE(WaitUntil([&] { return UsesBothWorkers(0); }));
   int status = -1;
