platform: a bestEffort that is no boolean is a fault

What callers saw: a job with "bestEffort": "false" was run as one that need not be stored. A number or a list had the same effect.

Cause: the reader asked whether the field is requested, as it does for features that it only refuses. There any value that is not empty is a request; for the one flag that lets a job run, this takes a malformed value for consent.

An omitted one is false, as before.

Evidence: the row /bestEffort of CallerHttpTest.AWrongFieldOfAJobIsAFaultAtItsPlace failed before for 1, "false" and [1].

--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -150,6 +150,7 @@
   const std::vector<const char*> not_a_text = {"0", "null", "false", "[]"};
   return {
       {"/spec", "\"\"", not_a_text},
+      {"/bestEffort", "false", {"0", "1", "null", "\"false\"", "[]", "[1]"}},
       {"/phases", "[]", {"0", "null", "{}", "\"\"", "[7]"}},
       {"/phases/1/count", "0", not_a_number},
       {"/phases/1/cpu", "0", not_a_number},
