held: the steps that can start first come from the step graph

Admission asked UnblockedSteps itself and left out steps without tasks on its own. FirstSteps does both, so that only step_graph.h decides what such a step means.

--- a/include/quetzalspindle/step_graph.h
+++ b/include/quetzalspindle/step_graph.h
@@ -18,8 +18,8 @@
 
 bool HasTasks(const HeldJob& job);
 
-// Whether `predicate` holds for some step that has tasks. Every decision about
-// the workers that a job needs goes through this function.
+// Whether `predicate` holds for some step that has tasks. Only these say which
+// workers a job needs.
 template <typename Predicate>
 bool AnyStepWithTasks(const HeldJob& job, Predicate predicate) {
   return std::any_of(
@@ -32,6 +32,10 @@
 std::vector<bool> UnblockedSteps(const std::vector<HeldStep>& steps,
                                  const std::vector<uint32_t>& open_tasks);
 
+// The steps with tasks that may start before any task is done. They are those
+// of `job`, which must outlive the result.
+std::vector<const HeldStep*> FirstSteps(const HeldJob& job);
+
 // Estimated run time of the critical path: the chain of steps, each of which
 // depends on the one before, that takes longest.
 Millis CriticalPathEstimate(const HeldJob& job);
--- a/src/held/backlog_forecast.cc
+++ b/src/held/backlog_forecast.cc
@@ -48,9 +48,8 @@
   input.guarantee = shares_->GuaranteeOf(queue.name);
   uint64_t last_task_work = 0;
   for (const HeldStep& step : job.steps) {
-    if (step.tasks == 0) continue;
     input.job_work += StepWork(step);
-    last_task_work = TaskWork(step);
+    if (step.tasks > 0) last_task_work = TaskWork(step);
   }
   // The wait is that of the task that starts last.
   input.job_work -= std::min(input.job_work, last_task_work);
@@ -127,23 +126,17 @@
 bool BacklogForecast::CanStartNow(const std::string& service,
                                   const std::string& queue, const HeldJob& job,
                                   Millis objective, Instant now) const {
-  std::vector<uint32_t> open_tasks;
-  open_tasks.reserve(job.steps.size());
-  for (const HeldStep& step : job.steps) open_tasks.push_back(step.tasks);
-  const std::vector<bool> is_unblocked = UnblockedSteps(job.steps, open_tasks);
-  for (size_t i = 0; i < job.steps.size(); ++i) {
-    const HeldStep& step = job.steps[i];
-    if (step.tasks == 0 || !is_unblocked[i]) continue;
+  const std::vector<const HeldStep*> first = FirstSteps(job);
+  return std::all_of(first.begin(), first.end(), [&](const HeldStep* step) {
     PlacementNeed need;
     need.service = service;
     need.queue = queue;
-    need.estimate = step.estimate;
+    need.estimate = step->estimate;
     need.remaining = objective;
-    need.resources = step.task_resources;
-    need.required_label = step.required_label;
-    if (!workers_->HasRoomFor(need, step.tasks, now)) return false;
-  }
-  return true;
+    need.resources = step->task_resources;
+    need.required_label = step->required_label;
+    return workers_->HasRoomFor(need, step->tasks, now);
+  });
 }
 
 }  // namespace qs
--- a/src/held/step_graph.cc
+++ b/src/held/step_graph.cc
@@ -29,6 +29,18 @@
   return is_unblocked;
 }
 
+std::vector<const HeldStep*> FirstSteps(const HeldJob& job) {
+  std::vector<uint32_t> open_tasks;
+  open_tasks.reserve(job.steps.size());
+  for (const HeldStep& step : job.steps) open_tasks.push_back(step.tasks);
+  const std::vector<bool> is_unblocked = UnblockedSteps(job.steps, open_tasks);
+  std::vector<const HeldStep*> first;
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    if (is_unblocked[i] && open_tasks[i] > 0) first.push_back(&job.steps[i]);
+  }
+  return first;
+}
+
 Millis CriticalPathEstimate(const HeldJob& job) {
   std::vector<Millis> finish;
   finish.reserve(job.steps.size());
