held: one place completes a job without tasks; its tests check what they claim

Read once more, the change said in two places that a job without tasks is complete: CheckAdmission let it pass, and Admit ended it. Now OnJob answers it, before it is held, and admission knows only jobs with tasks. Likewise step_graph.cc stated three times which dependencies count.

Tests that checked less than they claim: - AJobWithoutTasksThatWasCancelledIsNotComplete passed on, too. Its check is now the end of AJobWithoutTasksIsCompleteAtOnce, which fails there. - The last part of AStepWithoutTasksNeedsNoWorker looked at jobs that had started, which evacuations leave alone. AnEmptyStepNeedsNoWorkerWhileItsJobWaits has them wait. - A count of 0 that is written out is now submitted to real processes as well.

No change for jobs with tasks.

--- a/include/quetzalspindle/step_graph.h
+++ b/include/quetzalspindle/step_graph.h
@@ -9,10 +9,10 @@
 
 // The order of the steps of a job, and the time that they take.
 //
-// A step without tasks orders other steps and does nothing else: it is done as
-// soon as the steps that it depends on are done, takes no time and needs no
-// worker, whatever its other fields state. A job without tasks is complete when
-// it is submitted.
+// An empty step, one without tasks, orders other steps and does nothing else:
+// it is done as soon as the steps that it depends on are done, takes no time
+// and needs no worker, whatever its other fields state. A job without tasks is
+// complete when it is submitted.
 
 namespace qs {
 
--- a/src/held/job_scheduler.cc
+++ b/src/held/job_scheduler.cc
@@ -42,12 +42,6 @@
          queue.latency_target;
 }
 
-// The rack that the job's first tasks prefer; empty for any.
-std::string FirstRackOf(const ScheduledJob& job) {
-  if (job.tasks.empty()) return {};
-  return job.spec.steps[job.tasks.front().step].preferred_rack;
-}
-
 JobState ToJobState(HeldState state) {
   switch (state) {
     case HeldState::kComplete:
@@ -178,6 +172,7 @@
     AnswerCaller(caller, job.id, {HeldState::kRefused, reason, Millis(0)});
     return;
   }
+  if (!HasTasks(job)) return CompleteAtOnce(caller, *queue, job, received, now);
   if (RefuseConvicted(caller, job, now)) return;
   const AdmissionVerdict verdict = CheckAdmission(*queue, job, received, now);
   const Reason refusal = verdict.refusal;
@@ -245,8 +240,6 @@
     verdict.retry_after = retry_after;
     return verdict;
   };
-  // It is complete at once, so neither workers nor a stop are in its way.
-  if (!HasTasks(job)) return {};
   const Millis critical_path = CriticalPathEstimate(job);
   if (is_stopping_ && now + kEstimateFactor * critical_path > finish_by_) {
     return refuse(Reason::kStopping, kRestartRetry);
@@ -351,37 +344,38 @@
   job.useful_by = received + std::min(objective * options_.useful_objectives,
                                       spec.caller_timeout);
   job.spec = std::move(spec);
-  size_t tasks = 0;
-  for (const HeldStep& step : job.spec.steps) tasks += step.tasks;
-  job.tasks.reserve(tasks);
-  job.open_tasks_in_step.reserve(job.spec.steps.size());
-  for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-    const uint32_t count = job.spec.steps[step].tasks;
-    job.open_tasks_in_step.push_back(count);
-    for (uint32_t index = 0; index < count; ++index) {
-      Task task;
-      task.step = step;
-      task.index = index;
-      job.tasks.push_back(std::move(task));
-    }
-  }
-  job.open_tasks = job.tasks.size();
+  job.CreateTasks();
   job.check_at = job.Expiry();
   job_checks_.emplace(job.check_at, number);
   job_by_id_[job.spec.id] = number;
   job_by_caller_[caller] = number;
   job.awaits_earlier_runs = leftover_runs_.contains(job.spec.id);
+  const HeldStep& first_step = job.spec.steps[job.tasks.front().step];
   log_->Record("job_admitted", {{"job", job.spec.id},
                                 {"queue", queue.name},
                                 {"tasks", Text(job.tasks.size())},
-                                {"rack", FirstRackOf(job)},
+                                {"rack", first_step.preferred_rack},
                                 {"objective_ms", Text(objective)},
                                 {"config_version", Text(catalog_->version)}});
-  if (job.open_tasks == 0) {
-    FinishJob(&job, {HeldState::kComplete, Reason::kNone, Millis(0)}, now);
-  } else if (!job.awaits_earlier_runs) {
-    UnblockSteps(&job, now);
-  }
+  if (!job.awaits_earlier_runs) UnblockSteps(&job, now);
+}
+
+void JobScheduler::CompleteAtOnce(uint64_t caller,
+                                  const QueueDeclaration& queue,
+                                  const HeldJob& job, Instant received,
+                                  Instant now) {
+  observer_->JobEnded(JobState::kComplete, Elapsed(received, now));
+  RecordComplete(job.id, received, received + ObjectiveOf(queue, Millis(0)),
+                 now);
+  AnswerCaller(caller, job.id,
+               {HeldState::kComplete, Reason::kNone, Millis(0)});
+}
+
+void JobScheduler::RecordComplete(const std::string& id, Instant arrived_at,
+                                  Instant on_time_by, Instant now) {
+  log_->Record("job_complete", {{"job", id},
+                                {"age_ms", Text(Elapsed(arrived_at, now))},
+                                {"late", now > on_time_by ? "yes" : "no"}});
 }
 
 void JobScheduler::AnswerCaller(uint64_t caller, const std::string& id,
@@ -913,10 +907,7 @@
     AnswerCaller(caller, job->spec.id, answer);
   }
   if (answer.state == HeldState::kComplete) {
-    log_->Record("job_complete",
-                 {{"job", job->spec.id},
-                  {"age_ms", Text(age)},
-                  {"late", now > job->on_time_by ? "yes" : "no"}});
+    RecordComplete(job->spec.id, job->arrived_at, job->on_time_by, now);
   }
   job_by_id_.erase(job->spec.id);
   job_checks_.erase({job->check_at, job->number});
--- a/src/held/job_scheduler.h
+++ b/src/held/job_scheduler.h
@@ -180,6 +180,12 @@
 
   void Admit(uint64_t caller, const QueueDeclaration& queue, HeldJob job,
              Instant received, Instant now, MemoryBudget::Share memory);
+  // Answers a job without tasks. It is never held, so neither a lack of workers
+  // nor a stop of the process is in its way.
+  void CompleteAtOnce(uint64_t caller, const QueueDeclaration& queue,
+                      const HeldJob& job, Instant received, Instant now);
+  void RecordComplete(const std::string& id, Instant arrived_at,
+                      Instant on_time_by, Instant now);
   AdmissionVerdict CheckAdmission(const QueueDeclaration& queue,
                                   const HeldJob& job, Instant received,
                                   Instant now) const;
--- a/src/held/scheduled_job.cc
+++ b/src/held/scheduled_job.cc
@@ -1,7 +1,26 @@
 #include "held/scheduled_job.h"
 
+#include <utility>
+
 namespace qs {
 
+void ScheduledJob::CreateTasks() {
+  size_t count = 0;
+  for (const HeldStep& step : spec.steps) count += step.tasks;
+  tasks.reserve(count);
+  open_tasks_in_step.reserve(spec.steps.size());
+  for (uint32_t step = 0; step < spec.steps.size(); ++step) {
+    open_tasks_in_step.push_back(spec.steps[step].tasks);
+    for (uint32_t index = 0; index < spec.steps[step].tasks; ++index) {
+      ScheduledTask task;
+      task.step = step;
+      task.index = index;
+      tasks.push_back(std::move(task));
+    }
+  }
+  open_tasks = tasks.size();
+}
+
 WaitingTerms ScheduledJob::TermsOf(const ScheduledTask& task) const {
   const Instant latest_start = LatestStartOf(task);
   WaitingTerms terms;
--- a/src/held/scheduled_job.h
+++ b/src/held/scheduled_job.h
@@ -57,6 +57,8 @@
   // Runs of an earlier job with this id may still execute, so no task starts.
   bool awaits_earlier_runs = false;
 
+  // Creates the tasks of all steps of `spec`, blocked and not done.
+  void CreateTasks();
   bool HasStarted() const { return may_have_run || open_runs > 0; }
   // Whether the job is late and waits behind those that can be on time.
   bool GivesWay() const { return gives_way && !HasStarted(); }
--- a/src/held/step_graph.cc
+++ b/src/held/step_graph.cc
@@ -7,6 +7,16 @@
   return step.tasks > 0 ? step.estimate : Millis(0);
 }
 
+// Calls `handle` with each step that step `i` depends on. Only earlier steps
+// can be depended on, so the graph has no cycles.
+template <typename Handler>
+void ForEachDependency(const std::vector<HeldStep>& steps, size_t i,
+                       Handler handle) {
+  for (const uint32_t earlier : steps[i].depends_on) {
+    if (earlier < i) handle(earlier);
+  }
+}
+
 }  // namespace
 
 bool HasTasks(const HeldJob& job) {
@@ -15,16 +25,13 @@
 
 std::vector<bool> UnblockedSteps(const std::vector<HeldStep>& steps,
                                  const std::vector<uint32_t>& open_tasks) {
-  std::vector<bool> is_unblocked;
-  std::vector<bool> is_done;
-  is_unblocked.reserve(steps.size());
-  is_done.reserve(steps.size());
+  std::vector<bool> is_unblocked(steps.size(), true);
+  std::vector<bool> is_done(steps.size());
   for (size_t i = 0; i < steps.size(); ++i) {
-    const std::vector<uint32_t>& depends_on = steps[i].depends_on;
-    is_unblocked.push_back(std::all_of(
-        depends_on.begin(), depends_on.end(),
-        [&](uint32_t earlier) { return earlier >= i || is_done[earlier]; }));
-    is_done.push_back(is_unblocked[i] && open_tasks[i] == 0);
+    ForEachDependency(steps, i, [&](uint32_t earlier) {
+      if (!is_done[earlier]) is_unblocked[i] = false;
+    });
+    is_done[i] = is_unblocked[i] && open_tasks[i] == 0;
   }
   return is_unblocked;
 }
@@ -42,16 +49,15 @@
 }
 
 Millis CriticalPathEstimate(const HeldJob& job) {
-  std::vector<Millis> finish;
-  finish.reserve(job.steps.size());
+  std::vector<Millis> finish(job.steps.size());
   Millis longest{0};
-  for (const HeldStep& step : job.steps) {
+  for (size_t i = 0; i < job.steps.size(); ++i) {
     Millis start{0};
-    for (const uint32_t earlier : step.depends_on) {
-      if (earlier < finish.size()) start = std::max(start, finish[earlier]);
-    }
-    finish.push_back(start + EstimateOf(step));
-    longest = std::max(longest, finish.back());
+    ForEachDependency(job.steps, i, [&](uint32_t earlier) {
+      start = std::max(start, finish[earlier]);
+    });
+    finish[i] = start + EstimateOf(job.steps[i]);
+    longest = std::max(longest, finish[i]);
   }
   return longest;
 }
@@ -59,11 +65,10 @@
 std::vector<Millis> EstimatesAfterSteps(const HeldJob& job) {
   std::vector<Millis> after(job.steps.size(), Millis(0));
   for (size_t i = job.steps.size(); i-- > 0;) {
-    for (const uint32_t earlier : job.steps[i].depends_on) {
-      if (earlier >= i) continue;
-      after[earlier] =
-          std::max(after[earlier], EstimateOf(job.steps[i]) + after[i]);
-    }
+    const Millis from_here = EstimateOf(job.steps[i]) + after[i];
+    ForEachDependency(job.steps, i, [&](uint32_t earlier) {
+      after[earlier] = std::max(after[earlier], from_here);
+    });
   }
   return after;
 }
--- a/tests/held_path_test.cc
+++ b/tests/held_path_test.cc
@@ -84,9 +84,9 @@
   EXPECT_GE(cluster_.worker(1).starts() - starts[1], 4);
 }
 
-// Guards against a task that no caller sent, and against a job without tasks
-// that is not answered. Steps without a count stand first, last, beside another
-// one, two in a row, and alone.
+// Guards against a task that no caller submitted, and against a job without
+// tasks that is not answered. Steps without a count, or with one of zero, stand
+// first, last, beside another one, two in a row, and alone.
 TEST_F(HeldPathTest, AStepWithoutACountRunsNothing) {
   const auto step = [](int count, const std::vector<int>& after) {
     json fields = {{"cpu", 4000}, {"memMb", 64}, {"estimateMs", 20}};
@@ -101,6 +101,7 @@
       {step(1, {}), step(0, {0}), step(0, {1}), step(3, {2})},
       {step(0, {}), step(0, {0})},
       {json::object()},
+      {json{{"count", 0}}, step(1, {0})},
   };
   for (int entry = 0; entry < kEntries; ++entry) {
     for (const json& phases : jobs) {
--- a/tests/job_scheduler_test.cc
+++ b/tests/job_scheduler_test.cc
@@ -62,6 +62,12 @@
     CollectActions(ms);
   }
 
+  std::vector<std::string> OrderedTasks() const {
+    std::vector<std::string> tasks;
+    for (const auto& [guard, order] : orders_) tasks.push_back(order.task);
+    return tasks;
+  }
+
   Observer observer_;
   DecisionLog log_;
   JobScheduler scheduler_{JobSchedulerOptions(), &observer_, &log_, 7,
@@ -96,106 +102,115 @@
   EXPECT_EQ(orders_[1].second.task, "a.0.1.0");
 }
 
-// Guards against a step that runs before the work that it depends on through a
-// step without tasks.
-TEST_F(JobSchedulerTest, AStepWithoutTasksKeepsTheOrderOfTheOthers) {
-  ConnectGuard(kGuardA, 0);
-  HeldJob job = MakeJob("a", 1);
-  job.steps.resize(4, job.steps[0]);
-  for (uint32_t step = 1; step < 4; ++step) {
-    job.steps[step].depends_on = {step - 1};
+// A job whose steps each depend on the one before.
+HeldJob MakeChain(const std::string& id, const std::vector<uint32_t>& tasks) {
+  HeldJob job = MakeJob(id, 0);
+  job.steps.resize(tasks.size(), job.steps[0]);
+  for (uint32_t step = 0; step < tasks.size(); ++step) {
+    job.steps[step].tasks = tasks[step];
+    if (step > 0) job.steps[step].depends_on = {step - 1};
   }
-  job.steps[1].tasks = job.steps[2].tasks = 0;
-  Submit(1, job, 10);
-  ASSERT_EQ(orders_.size(), 1U);
-  EXPECT_EQ(orders_[0].second.task, "a.0.0.0");
+  return job;
+}
+
+// Guards against a step that starts before what it depends on through steps
+// without tasks.
+TEST_F(JobSchedulerTest, AnEmptyStepKeepsTheOrderOfTheOthers) {
+  ConnectGuard(kGuardA, 0);
+  Submit(1, MakeChain("a", {1, 0, 0, 1, 0}), 10);
+  using Tasks = std::vector<std::string>;
+  EXPECT_EQ(OrderedTasks(), Tasks{"a.0.0.0"});
   ReportEnd(0, RunOutcome::kDone, 100);
-  ASSERT_EQ(orders_.size(), 2U);
-  EXPECT_EQ(orders_[1].second.task, "a.0.3.0");
+  EXPECT_EQ(OrderedTasks(), (Tasks{"a.0.0.0", "a.0.3.0"}));
+  EXPECT_TRUE(answers_.empty());
   ReportEnd(1, RunOutcome::kDone, 200);
   EXPECT_EQ(answers_[1].state, HeldState::kComplete);
 }
 
-// Guards against a job that nothing ends, as none of its tasks does.
+// Guards against a job that nothing ends, as none of its tasks does. No worker
+// is connected, and the process is about to end.
 TEST_F(JobSchedulerTest, AJobWithoutTasksIsCompleteAtOnce) {
-  HeldJob job = MakeJob("a", 0);
-  job.steps.resize(3, job.steps[0]);
-  job.steps[2].depends_on = {0, 1};
-  // No worker is connected, and the process is about to end.
   scheduler_.BeginStop(At(0));
-  Submit(1, job, 10);
-  job.steps.clear();
-  job.id = "b";
-  Submit(2, job, 10);
+  Submit(1, MakeChain("a", {0, 0, 0}), 10);
+  Submit(2, MakeChain("b", {}), 10);
   for (const uint64_t caller : {1, 2}) {
     ASSERT_TRUE(answers_.contains(caller));
     EXPECT_EQ(answers_[caller].state, HeldState::kComplete);
   }
   EXPECT_EQ(scheduler_.held_jobs(), 0U);
-  EXPECT_TRUE(orders_.empty());
+  // A cancel comes too late for them, but in time for a later submission.
+  scheduler_.OnCancel("a", CancelOrigin::kCaller, At(20));
+  EXPECT_FALSE(scheduler_.cancels().WasHeld("a"));
+  Submit(3, MakeChain("a", {0}), 30);
+  EXPECT_EQ(answers_[3].reason, Reason::kCancelled);
 }
 
-TEST_F(JobSchedulerTest, AJobWithoutTasksIsAnsweredThoughARunOfItsIdGoesOn) {
+TEST_F(JobSchedulerTest, AJobWithoutTasksIsCompleteThoughARunOfItsIdGoesOn) {
   ConnectGuard(kGuardA, 0);
   Submit(1, MakeJob("a", 1), 10);
   scheduler_.OnCallerLeft(1, At(20));
   CollectActions(20);
   ASSERT_TRUE(scheduler_.HasRunsAt(kGuardA));
-  Submit(2, MakeJob("a", 0), 30);
+  Submit(2, MakeChain("a", {0}), 30);
   ASSERT_TRUE(answers_.contains(2));
   EXPECT_EQ(answers_[2].state, HeldState::kComplete);
   EXPECT_EQ(orders_.size(), 1U);
 }
 
-TEST_F(JobSchedulerTest, AJobWithoutTasksThatWasCancelledIsNotComplete) {
-  scheduler_.OnCancel("a", CancelOrigin::kCaller, At(5));
-  Submit(1, MakeJob("a", 0), 10);
-  EXPECT_EQ(answers_[1].state, HeldState::kFailed);
-  EXPECT_EQ(answers_[1].reason, Reason::kCancelled);
+// Jobs with one task, after an empty step that asks for what no worker has, or
+// only one in zone z2.
+std::vector<HeldJob> JobsWithNeedsOfEmptySteps() {
+  HeldJob no_label = MakeChain("no-label", {0, 1});
+  no_label.steps[0].required_label = "none";
+  HeldJob too_large = MakeChain("too-large", {0, 1});
+  too_large.steps[0].task_resources.cpu_millis = 1'000'000;
+  HeldJob rare = MakeChain("rare", {0, 1});
+  rare.steps[0].required_label = "rare";
+  return {no_label, too_large, rare};
 }
 
 // Guards against a job that fails or is refused for a worker that none of its
 // tasks needs.
-TEST_F(JobSchedulerTest, AStepWithoutTasksNeedsNoWorker) {
+TEST_F(JobSchedulerTest, AnEmptyStepNeedsNoWorker) {
   RunReport report = MakeReport(1);
   report.zone = "z1";
-  report.labels = {"common"};
   ConnectGuard(kGuardA, 0, report);
-  RunReport evacuated = MakeReport(1);
-  evacuated.zone = "z2";
-  evacuated.labels = {"rare"};
-  ConnectGuard(kGuardB, 0, evacuated);
+  report.zone = "z2";
+  report.labels = {"rare"};
+  ConnectGuard(kGuardB, 0, report);
   scheduler_.OnEvacuations(MakeEvacuations({"z2"}, 2), At(5));
-  uint64_t caller = 0;
-  for (const std::string label : {"none", "rare"}) {
-    HeldJob job = MakeJob("job-" + label, 0);
-    job.steps[0].required_label = label;
-    job.steps.push_back(MakeJob("", 1).steps[0]);
-    Submit(++caller, job, 10);
-    EXPECT_FALSE(answers_.contains(caller)) << label;
-    EXPECT_EQ(orders_.size(), caller);
-  }
-  HeldJob wide = MakeJob("wide", 0, 1'000'000);
-  wide.steps.push_back(MakeJob("", 1).steps[0]);
-  Submit(++caller, wide, 10);
-  EXPECT_EQ(orders_.size(), caller);
-  // An evacuation that comes later refuses a job only for steps with tasks.
-  scheduler_.SetHasSeenAllWorkers(false, At(20));
+  for (const HeldJob& job : JobsWithNeedsOfEmptySteps()) Submit(1, job, 10);
+  EXPECT_TRUE(answers_.empty());
+  EXPECT_EQ(orders_.size(), 3U);
+}
+
+// The same for a job that waits when it becomes known that no worker has what
+// its empty step asks for, and when z2 is evacuated.
+TEST_F(JobSchedulerTest, AnEmptyStepNeedsNoWorkerWhileItsJobWaits) {
+  scheduler_.SetHasSeenAllWorkers(false, At(0));
+  RunReport report = MakeReport(1);
+  report.zone = "z1";
+  ConnectGuard(kGuardA, 0, report);
+  report.zone = "z2";
+  report.labels = {"rare"};
+  ConnectGuard(kGuardB, 0, report);
+  Submit(1, MakeJob("busy", 24), 5);
+  const size_t orders = orders_.size();
+  for (const HeldJob& job : JobsWithNeedsOfEmptySteps()) Submit(2, job, 10);
+  ASSERT_EQ(scheduler_.held_jobs(), 4U);
+  ASSERT_EQ(orders_.size(), orders);
   scheduler_.SetHasSeenAllWorkers(true, At(20));
-  scheduler_.OnEvacuations(MakeEvacuations({"z2", "z3"}, 3), At(20));
+  scheduler_.OnEvacuations(MakeEvacuations({"z2"}, 2), At(20));
   CollectActions(20);
   EXPECT_TRUE(answers_.empty());
+  EXPECT_EQ(scheduler_.held_jobs(), 4U);
 }
 
-// Guards against a job that is refused, or held longer than it is of use, for
-// the run time of a step that runs nothing.
-TEST_F(JobSchedulerTest, AStepWithoutTasksTakesNoTime) {
-  HeldJob job = MakeJob("a", 1);
-  job.steps.resize(3, job.steps[0]);
-  job.steps[1].tasks = 0;
+// Guards against an objective that counts the run time of a step that runs
+// nothing.
+TEST_F(JobSchedulerTest, AnEmptyStepTakesNoTime) {
+  HeldJob job = MakeChain("a", {1, 0, 1});
   job.steps[1].estimate = Millis(10'000);
-  job.steps[1].depends_on = {0};
-  job.steps[2].depends_on = {1};
   EXPECT_EQ(CriticalPathEstimate(job), Millis(200));
   const std::vector<Millis> after{Millis(100), Millis(100), Millis(0)};
   EXPECT_EQ(EstimatesAfterSteps(job), after);
--- a/tests/step_graph_test.cc
+++ b/tests/step_graph_test.cc
@@ -1,5 +1,5 @@
-// Tests that a job with steps without tasks is decided on and run as the same
-// job without these steps.
+// Tests that a job with empty steps is admitted and run as the same job without
+// these steps.
 
 #include "quetzalspindle/step_graph.h"
 
@@ -45,7 +45,7 @@
   return job;
 }
 
-// The steps with tasks that step `i` waits for, also through others.
+// The steps with tasks that step `i` depends on, also through empty steps.
 std::set<uint32_t> StepsBefore(const HeldJob& job, uint32_t i) {
   std::set<uint32_t> before;
   for (const uint32_t earlier : job.steps[i].depends_on) {
@@ -58,8 +58,8 @@
   return before;
 }
 
-// The job without its steps without tasks. `number_of` gets the new number of
-// each step that stays.
+// The job without its empty steps. `number_of` gets the new number of each step
+// that stays.
 HeldJob WithoutEmptySteps(const HeldJob& job,
                           std::map<uint32_t, uint32_t>* number_of) {
   HeldJob reduced = job;
@@ -129,9 +129,10 @@
                           At(-10'000)};
 };
 
-// Guards against starts of tasks that no caller sent, against a step that
-// starts before what it waits for, and against a job that nothing ends.
-RC_GTEST_PROP(StepGraphTest, OnlyTasksThatWereSentStartEachInItsTurn, ()) {
+// Guards against starts of tasks that no caller submitted, against a step that
+// starts before what it depends on, and against a job that nothing ends.
+RC_GTEST_PROP(StepGraphTest, StartsExactlyTheTasksWhoseDependenciesAreDone,
+              ()) {
   const HeldJob job = DrawJob();
   Entry entry(1'000'000);
   entry.Submit(kCaller, job);
@@ -174,7 +175,7 @@
 }
 
 // Guards against an objective or an admission that counts what does not run.
-RC_GTEST_PROP(StepGraphTest, AJobIsJudgedByItsStepsWithTasks, ()) {
+RC_GTEST_PROP(StepGraphTest, EmptyStepsDoNotCountForAdmission, ()) {
   const HeldJob job = DrawJob();
   std::map<uint32_t, uint32_t> number_of;
   const HeldJob reduced = WithoutEmptySteps(job, &number_of);
@@ -202,7 +203,7 @@
 
 // Guards against a job whose steps take an entry's time without end: they are
 // bounded as tasks are.
-TEST(StepGraphTest, StepsWithoutTasksCountForTheSizeOfAJob) {
+TEST(StepGraphTest, EmptyStepsCountForTheSizeOfAJob) {
   HeldJob job = MakeJob("a", 0);
   job.steps.resize(10, job.steps[0]);
   JobBudget nine({9, size_t{1} << 20U});
